--- /dev/null
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -0,0 +1,192 @@
+#include "coordination/forwarding/endpoint_pool.hpp"
+
+#include "state/invariant.hpp"
+#include "state/stable_hash.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace buckthorndale::coordination::forwarding {
+
+namespace {
+
+/// Failures in a row before an endpoint rests; single failures are part of a service's usual rate.
+constexpr auto failures_before_rest = 3;
+constexpr auto shortest_rest = state::duration{std::chrono::milliseconds{500}};
+constexpr auto longest_rest = state::duration{std::chrono::seconds{4}};
+constexpr auto rest_when_unreachable = state::duration{std::chrono::milliseconds{1000}};
+constexpr auto rest_when_full = state::duration{std::chrono::milliseconds{100}};
+
+/// An endpoint keeps its affinity until it holds this many more of the router's requests than the mean.
+constexpr auto affinity_headroom = 4.0;
+
+} // namespace
+
+auto endpoint_pool::update(const std::vector<state::listed_endpoint>& endpoints) -> void
+{
+    for (auto& [id, known] : views_)
+        known.is_listed_ = false;
+    for (const auto& endpoint : endpoints) {
+        auto& known = views_[endpoint.id_];
+        const auto is_reborn =
+            known.endpoint_.life_ != endpoint.life_ || known.endpoint_.address_ != endpoint.address_;
+        if (is_reborn) {
+            known.has_said_leaving_ = false;
+            known.failures_in_a_row_ = 0;
+            known.rests_until_ = {};
+        }
+        known.endpoint_ = endpoint;
+        known.is_listed_ = true;
+    }
+    drop_unused();
+}
+
+auto endpoint_pool::drop_unused() -> void
+{
+    std::erase_if(views_, [](const auto& item) {
+        return !item.second.is_listed_ && item.second.own_in_flight_ == 0;
+    });
+}
+
+auto endpoint_pool::candidates(const pool_query& query) const -> std::vector<const view*>
+{
+    auto found = std::vector<const view*>{};
+    for (const auto& [id, known] : views_) {
+        const auto may_work = known.is_listed_ && !known.has_said_leaving_ && !known.endpoint_.is_draining_;
+        if (may_work && known.endpoint_.service_ == query.service_ &&
+            query.version_.allows(known.endpoint_.version_))
+            found.push_back(&known);
+    }
+    return found;
+}
+
+auto endpoint_pool::choose(const pool_query& query, state::time_point now, std::uint64_t random) const
+    -> std::optional<state::endpoint_id>
+{
+    const auto usable = candidates(query);
+    if (usable.empty())
+        return std::nullopt;
+    const auto sum = std::accumulate(usable.begin(), usable.end(), 0.0,
+                                     [](double so_far, const view* known) {
+                                         return so_far + known->own_in_flight_;
+                                     });
+    const auto affinity_bound = sum / static_cast<double>(usable.size()) + affinity_headroom;
+    // An endpoint that was tried before, or rests, is better than none, in this order.
+    const auto rank = [&](const view* known) {
+        const auto& id = known->endpoint_.id_;
+        const auto was_tried = query.excluded_.contains(id);
+        const auto rests = known->rests_until_ > now;
+        if (query.affinity_.empty()) {
+            const auto is_far = known->endpoint_.data_centre_ != query.data_centre_;
+            const auto load = known->own_in_flight_ + (is_far ? 1 : 0);
+            return std::tuple{was_tried, rests, false, load, state::stable_hash(id.text(), random)};
+        }
+        const auto is_over = known->own_in_flight_ > affinity_bound;
+        const auto home = state::stable_hash(id.text(), state::stable_hash(query.affinity_));
+        return std::tuple{was_tried, rests, is_over, 0, home};
+    };
+    const auto by_rank = [&](const view* left, const view* right) { return rank(left) < rank(right); };
+    return (*std::ranges::min_element(usable, by_rank))->endpoint_.id_;
+}
+
+auto endpoint_pool::find(const state::endpoint_id& id) const -> const state::listed_endpoint*
+{
+    const auto found = views_.find(id);
+    return found == views_.end() ? nullptr : &found->second.endpoint_;
+}
+
+auto endpoint_pool::versions_of(const state::service_name& service) const -> std::vector<state::version_name>
+{
+    auto oldest = std::map<state::version_name, std::uint64_t>{};
+    for (const auto* known : candidates({.service_ = service})) {
+        const auto& endpoint = known->endpoint_;
+        const auto [found, is_new] = oldest.try_emplace(endpoint.version_, endpoint.registered_at_);
+        if (!is_new)
+            found->second = std::min(found->second, endpoint.registered_at_);
+    }
+    auto versions = std::vector<state::version_name>{};
+    for (const auto& [version, registered_at] : oldest)
+        versions.push_back(version);
+    std::ranges::sort(versions, {}, [&](const auto& version) { return oldest.at(version); });
+    return versions;
+}
+
+auto endpoint_pool::begin(const state::endpoint_id& id) -> void
+{
+    ++views_.at(id).own_in_flight_;
+}
+
+auto endpoint_pool::end(const state::endpoint_id& id) -> void
+{
+    auto* known = find_view(id);
+    verify(known != nullptr, state::promise::internal_consistency, "an endpoint in use must be kept");
+    --known->own_in_flight_;
+    verify(known->own_in_flight_ >= 0, state::promise::internal_consistency,
+           "requests in flight must not be negative");
+    drop_unused();
+}
+
+auto endpoint_pool::mark_succeeded(const state::endpoint_id& id) -> void
+{
+    if (auto* known = find_view(id)) {
+        known->failures_in_a_row_ = 0;
+        known->rests_until_ = {};
+    }
+}
+
+auto endpoint_pool::mark_failed(const state::endpoint_id& id, state::time_point now) -> void
+{
+    auto* known = find_view(id);
+    if (known == nullptr)
+        return;
+    const auto over = ++known->failures_in_a_row_ - failures_before_rest;
+    if (over < 0)
+        return;
+    const auto rest = shortest_rest * (1 << std::min(over, 8));
+    known->rests_until_ = now + std::min(rest, longest_rest);
+}
+
+auto endpoint_pool::mark_unreachable(const state::endpoint_id& id, state::time_point now) -> void
+{
+    if (auto* known = find_view(id)) {
+        ++known->failures_in_a_row_;
+        known->rests_until_ = now + rest_when_unreachable;
+    }
+}
+
+auto endpoint_pool::mark_full(const state::endpoint_id& id, state::time_point now) -> void
+{
+    if (auto* known = find_view(id))
+        known->rests_until_ = std::max(known->rests_until_, now + rest_when_full);
+}
+
+auto endpoint_pool::mark_leaving(const state::endpoint_id& id) -> void
+{
+    if (auto* known = find_view(id))
+        known->has_said_leaving_ = true;
+}
+
+auto endpoint_pool::in_flight(const state::service_name& service) const -> std::int32_t
+{
+    auto sum = std::int32_t{0};
+    for (const auto* known : candidates({.service_ = service}))
+        sum += known->own_in_flight_;
+    return sum;
+}
+
+auto endpoint_pool::slots(const state::service_name& service) const -> std::int32_t
+{
+    auto sum = std::int32_t{0};
+    for (const auto* known : candidates({.service_ = service}))
+        sum += known->endpoint_.slots_;
+    return sum;
+}
+
+auto endpoint_pool::find_view(const state::endpoint_id& id) -> view*
+{
+    const auto found = views_.find(id);
+    return found == views_.end() ? nullptr : &found->second;
+}
+
+} // namespace buckthorndale::coordination::forwarding
--- /dev/null
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -0,0 +1,247 @@
+#pragma once
+
+// Attempts: dispatch, heads, endings, retries and evidence; part of forward_engine.hpp.
+
+#include "coordination/forwarding/forward_engine.hpp"
+
+#include "state/invariant.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthorndale::coordination::forwarding {
+
+/// An attempt that can be repeated and whose head has not come after this part of the latency objective is
+/// given up while there is time for another.
+inline constexpr auto head_part = 0.6;
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::dispatch(entry& item, const state::endpoint_id& endpoint,
+                                                   const std::string& reason) -> void
+{
+    const auto now = clock_.now();
+    const auto* known = pool_.find(endpoint);
+    verify(known != nullptr, state::promise::internal_consistency, "a chosen endpoint must be known");
+    verify(item.route_.is_repeatable() || !item.may_have_run_, state::promise::at_most_once,
+           "a request that may not be repeated must not run again");
+    verify(item.attempts_ < item.route_.most_attempts_, state::promise::internal_consistency,
+           "a request must not be tried more often than its route allows");
+    if (item.attempts_ == 0)
+        budgets_[known->service_].earn();
+    ++item.attempts_;
+    last_attempt_ = last_attempt_.next();
+    const auto left = item.deadline_ - now;
+    const auto may_retry = item.route_.is_repeatable() && item.attempts_ < item.route_.most_attempts_;
+    const auto head_limit =
+        std::chrono::duration_cast<state::duration>(item.route_.latency_objective_ * head_part);
+    const auto is_held = !item.is_model_settled_ && !item.model_.is_empty() &&
+                         item.model_ != item.route_.models_.back();
+    item.attempt_ = running_attempt{.handle_ = last_attempt_,
+                                    .endpoint_ = endpoint,
+                                    .service_ = known->service_,
+                                    .version_ = known->version_,
+                                    .model_ = item.model_,
+                                    .started_ = now,
+                                    .is_held_ = is_held};
+    owners_.emplace(last_attempt_, item.handle_);
+    pool_.begin(endpoint);
+    pins_.pin(item.request_.session_, known->service_, known->version_, now);
+    log(item, "dispatch", reason + ", version " + known->version_.text());
+    port_.dispatch(forward_order{.request_ = item.handle_,
+                                 .attempt_ = last_attempt_,
+                                 .address_ = known->address_,
+                                 .endpoint_ = endpoint,
+                                 .kind_ = item.route_.kind_,
+                                 .workspace_ = item.workspace_,
+                                 .model_ = item.model_,
+                                 .priority_ = item.priority_,
+                                 .deadline_ = item.deadline_,
+                                 .head_limit_ = may_retry ? std::min(head_limit, left) : left,
+                                 .gap_limit_ = may_retry ? item.route_.gap_objective_ : left,
+                                 .resume_after_ = item.last_event_,
+                                 .is_held_ = is_held});
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::head_arrived(const answer_head& head) -> void
+{
+    auto* item = find(head.attempt_);
+    if (item == nullptr)
+        return;
+    const auto now = clock_.now();
+    auto& attempt = *item->attempt_;
+    attempt.head_time_ = now - attempt.started_;
+    if (!attempt.is_held_)
+        return;
+    const auto better = better_model(
+        item->route_, item->model_,
+        {.confidence_ = head.confidence_.value_or(100),
+         .attempts_left_ = item->route_.most_attempts_ - item->attempts_,
+         .since_arrival_ = now - item->arrived_,
+         .time_left_ = item->deadline_ - now});
+    if (!better) {
+        attempt.is_held_ = false;
+        item->is_model_settled_ = true;
+        log(*item, "release", "confidence " + std::to_string(head.confidence_.value_or(100)));
+        port_.release(item->handle_, attempt.handle_);
+        return;
+    }
+    port_.cancel(attempt.handle_);
+    const auto ending = forward_ending{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::whole};
+    item->may_have_run_ = true;
+    pool_.mark_succeeded(attempt.endpoint_);
+    record_evidence(*item, attempt, ending);
+    owners_.erase(attempt.handle_);
+    pool_.end(attempt.endpoint_);
+    item->attempt_.reset();
+    item->model_ = *better;
+    start(*item, "escalate at confidence " + std::to_string(head.confidence_.value_or(0)));
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::attempt_ended(const forward_ending& ending) -> void
+{
+    auto* item = find(ending.attempt_);
+    if (item == nullptr)
+        return;
+    const auto attempt = close_attempt(*item, ending);
+    learn(*item, attempt, ending);
+    record_evidence(*item, attempt, ending);
+    go_on_after(*item, attempt, ending);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::close_attempt(entry& item, const forward_ending& ending)
+    -> running_attempt
+{
+    const auto attempt = *item.attempt_;
+    item.attempt_.reset();
+    owners_.erase(attempt.handle_);
+    pool_.end(attempt.endpoint_);
+    const auto has_not_run = ending.outcome_ == forward_outcome::declined ||
+                             ending.outcome_ == forward_outcome::wrong_endpoint ||
+                             ending.outcome_ == forward_outcome::not_sent;
+    if (!has_not_run)
+        item.may_have_run_ = true;
+    if (!ending.last_event_.empty()) {
+        item.last_event_ = ending.last_event_;
+        item.is_released_ = true;
+    }
+    item.excluded_.insert(attempt.endpoint_);
+    return attempt;
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::learn(const entry& item, const running_attempt& attempt,
+                                                const forward_ending& ending) -> void
+{
+    const auto now = clock_.now();
+    if (ending.is_leaving_ || ending.outcome_ == forward_outcome::wrong_endpoint)
+        pool_.mark_leaving(attempt.endpoint_);
+    switch (ending.outcome_) {
+    case forward_outcome::whole:
+        pool_.mark_succeeded(attempt.endpoint_);
+        return;
+    case forward_outcome::failed:
+    case forward_outcome::broken:
+    case forward_outcome::silent:
+    case forward_outcome::malformed:
+        pool_.mark_failed(attempt.endpoint_, now);
+        return;
+    case forward_outcome::declined:
+        pool_.mark_full(attempt.endpoint_, now);
+        return;
+    case forward_outcome::not_sent:
+        pool_.mark_unreachable(attempt.endpoint_, now);
+        return;
+    case forward_outcome::crashed:
+        pool_.mark_unreachable(attempt.endpoint_, now);
+        suspects_.add_own(item.request_.content_, attempt.endpoint_, now);
+        port_.announce_crash(attempt.endpoint_, item.request_.content_);
+        return;
+    case forward_outcome::wrong_endpoint:
+        return;
+    }
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::record_evidence(const entry& item, const running_attempt& attempt,
+                                                          const forward_ending& ending) -> void
+{
+    const auto key = evidence_key{.service_ = attempt.service_,
+                                  .version_ = attempt.version_,
+                                  .route_ = item.route_.name_,
+                                  .endpoint_ = attempt.endpoint_};
+    switch (ending.outcome_) {
+    case forward_outcome::failed:
+    case forward_outcome::malformed:
+    case forward_outcome::silent:
+        roll_outs_.record(key, false);
+        return;
+    case forward_outcome::whole:
+        break;
+    default:
+        // What breaks a connection says nothing about a version.
+        return;
+    }
+    constexpr auto fewest_events = 4;
+    const auto is_stream = item.route_.kind_ == state::request_kind::stream;
+    auto time = std::optional<state::duration>{};
+    if (is_stream && ending.events_ >= fewest_events)
+        time = ending.stream_time_ / (ending.events_ - 1);
+    else if (!is_stream)
+        time = attempt.head_time_;
+    const auto is_slow = time && pace_.is_slow(item.route_.name_, attempt.model_, *time);
+    roll_outs_.record(key, !is_slow);
+    if (time && !is_slow)
+        pace_.record(item.route_.name_, attempt.model_, *time);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::go_on_after(entry& item, const running_attempt& attempt,
+                                                      const forward_ending& ending) -> void
+{
+    if (ending.outcome_ == forward_outcome::whole) {
+        finish(item, attempt.handle_);
+        return;
+    }
+    if (can_try_again(item, attempt, ending.outcome_)) {
+        start(item, "again");
+        return;
+    }
+    switch (ending.outcome_) {
+    case forward_outcome::failed:
+        // The endpoint's own answer is the best there is, unless another one has begun.
+        if (item.is_released_)
+            refuse(item, state::error_kind::endpoint_failed, "The stream could not be resumed.");
+        else
+            finish(item, attempt.handle_);
+        return;
+    case forward_outcome::declined:
+    case forward_outcome::wrong_endpoint:
+    case forward_outcome::not_sent:
+        refuse(item, item.may_have_run_ ? state::error_kind::endpoint_failed : state::error_kind::no_capacity,
+               "No endpoint took the request.");
+        return;
+    default:
+        refuse(item, state::error_kind::outcome_unknown, "The endpoint gave no whole answer.");
+        return;
+    }
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::can_try_again(const entry& item, const running_attempt& attempt,
+                                                        forward_outcome outcome) -> bool
+{
+    const auto is_harmless = item.route_.is_repeatable() || !item.may_have_run_;
+    if (!is_harmless || item.attempts_ >= item.route_.most_attempts_)
+        return false;
+    if (outcome == forward_outcome::crashed && suspects_.is_convicted(item.request_.content_))
+        return false;
+    constexpr auto least_time_left = state::duration{std::chrono::milliseconds{50}};
+    if (item.deadline_ - clock_.now() < least_time_left)
+        return false;
+    return budgets_[attempt.service_].try_spend();
+}
+
+} // namespace buckthorndale::coordination::forwarding
--- /dev/null
+++ b/libraries/coordination/forwarding/forward_request.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "state/identifiers.hpp"
+#include "state/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Requests that are passed on to endpoints as they came.
+namespace buckthorndale::coordination::forwarding {
+
+/// A part of a prompt that requests may share.
+struct prompt_part {
+    std::string id_;
+    state::token_count tokens_;
+
+    auto operator==(const prompt_part&) const -> bool = default;
+};
+
+/// What decides about a forwarded request; the bytes stay with the network side.
+struct forward_request {
+    /// The caller's name for this attempt, as it stands in logs.
+    state::request_id id_;
+    std::string host_;
+    /// Without the query.
+    std::string path_;
+    /// The caller's key; empty when there is none.
+    std::string key_;
+    /// A hash of method, target, caller and body.
+    state::content_fingerprint content_;
+    /// How long the caller waits; zero when it does not say.
+    state::duration time_allowed_{0};
+    /// Whether the router is to choose the model.
+    bool leaves_model_open_{false};
+    state::token_count prompt_tokens_;
+    state::token_count most_answer_tokens_;
+    /// In the order of the prompt; the last one belongs to this request or its session alone.
+    std::vector<prompt_part> prompt_;
+    state::session_id session_;
+    /// The last event that the caller has of an earlier attempt; empty when there was none.
+    std::string last_event_;
+};
+
+} // namespace buckthorndale::coordination::forwarding
--- /dev/null
+++ b/libraries/coordination/forwarding/model_choice.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "state/identifiers.hpp"
+#include "state/route.hpp"
+#include "state/units.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace buckthorndale::coordination::forwarding {
+
+/// What is known when the head of a smaller model's answer has come.
+struct escalation_query {
+    /// The model's own opinion of its answer, from 0 to 100.
+    std::int32_t confidence_{0};
+    std::int32_t attempts_left_{0};
+    state::duration since_arrival_{0};
+    state::duration time_left_{0};
+};
+
+/// The model to begin with.
+auto first_model(const state::route& route) -> state::model_name;
+
+/// The model to ask instead of giving out the answer; none when the answer should be given out.
+auto better_model(const state::route& route, const state::model_name& current, const escalation_query& query)
+    -> std::optional<state::model_name>;
+
+} // namespace buckthorndale::coordination::forwarding
--- /dev/null
+++ b/libraries/coordination/forwarding/service_roll_outs.cpp
@@ -0,0 +1,242 @@
+#include "coordination/forwarding/service_roll_outs.hpp"
+
+#include "coordination/roll_out/sequential_test.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthorndale::coordination::forwarding {
+
+namespace {
+
+using state::staged_roll_out_state;
+
+/// From a part of the time allowed on, this share of new requests goes to the new version.
+struct stage {
+    double from_;
+    double share_;
+};
+
+// In the first half the share stays, so that sessions need not move. The users' bound on a bad version is
+// 0.15 of the requests; the last stage leaves time for long streams on the old version to end.
+constexpr auto stages =
+    std::array{stage{.from_ = 0.0, .share_ = 0.08}, stage{.from_ = 0.53, .share_ = 0.25},
+               stage{.from_ = 0.62, .share_ = 0.5}, stage{.from_ = 0.70, .share_ = 1.0}};
+constexpr auto half = 0.5;
+constexpr auto complete_from = 0.88;
+
+/// Fewer bad answers than this never halt a version.
+constexpr auto fewest_bad = 3;
+
+constexpr auto test = roll_out::test_settings{.smallest_harm_ = 0.2, .false_halt_ = 0.01, .false_pass_ = 0.01};
+
+const auto all_endpoints = state::endpoint_id{"-"};
+
+auto is_over(staged_roll_out_state state) -> bool
+{
+    return state == staged_roll_out_state::completed || state == staged_roll_out_state::rolled_back;
+}
+
+} // namespace
+
+auto service_roll_outs::update(const std::vector<state::staged_roll_out>& orders, state::time_point now)
+    -> void
+{
+    auto kept = std::map<state::service_name, progress>{};
+    for (const auto& order : orders) {
+        auto item = progress{.order_ = order, .began_ = now};
+        const auto known = services_.find(order.service_);
+        if (known != services_.end() && known->second.order_.created_ == order.created_ &&
+            known->second.order_.target_ == order.target_) {
+            item.began_ = known->second.began_;
+            item.is_halted_ = known->second.is_halted_;
+            // What is over stays over, also when an older copy of the record is read.
+            if (is_over(known->second.order_.state_))
+                item.order_.state_ = known->second.order_.state_;
+        }
+        kept.emplace(order.service_, std::move(item));
+    }
+    services_ = std::move(kept);
+}
+
+auto service_roll_outs::record(const evidence_key& key, bool is_good) -> void
+{
+    const auto found = services_.find(key.service_);
+    if (found == services_.end())
+        return;
+    auto counted = key;
+    // Only the new version's answers are told apart by endpoint; that keeps the reports short.
+    if (key.version_ != found->second.order_.target_)
+        counted.endpoint_ = all_endpoints;
+    own_[counted] += is_good ? roll_out::evidence{.good_ = 1} : roll_out::evidence{.bad_ = 1};
+}
+
+auto service_roll_outs::hear(const state::instance_id& from, const roll_out_report& report,
+                             state::time_point now) -> void
+{
+    heard_[from] = report;
+    for (const auto& age : report.ages_) {
+        const auto found = services_.find(age.service_);
+        if (found != services_.end() && found->second.order_.created_ == age.created_)
+            found->second.began_ = std::min(found->second.began_, now - age.age_);
+    }
+}
+
+auto service_roll_outs::is_running() const -> bool
+{
+    return std::ranges::any_of(services_,
+                               [](const auto& item) { return !is_over(item.second.order_.state_); });
+}
+
+auto service_roll_outs::report(state::incarnation life, state::time_point now) const -> roll_out_report
+{
+    auto word = roll_out_report{.life_ = life};
+    for (const auto& [service, item] : services_) {
+        if (is_over(item.order_.state_))
+            continue;
+        word.ages_.push_back(
+            {.service_ = service, .created_ = item.order_.created_, .age_ = now - item.began_});
+        for (const auto& [key, counts] : own_) {
+            if (key.service_ == service)
+                word.counts_.push_back({key, counts});
+        }
+    }
+    return word;
+}
+
+auto service_roll_outs::share_of(const progress& item, state::time_point now) -> double
+{
+    if (item.order_.state_ == staged_roll_out_state::completed)
+        return 1.0;
+    if (item.is_halted_ || item.order_.state_ == staged_roll_out_state::rolled_back)
+        return 0.0;
+    const auto allowed = std::max(item.order_.time_allowed_, state::duration{1});
+    const auto part = std::chrono::duration<double>(now - item.began_) / std::chrono::duration<double>(allowed);
+    auto share = 0.0;
+    for (const auto& step : stages) {
+        if (part >= step.from_)
+            share = step.share_;
+    }
+    return share;
+}
+
+auto service_roll_outs::share(const state::service_name& service, state::time_point now) const -> double
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? 0.0 : share_of(found->second, now);
+}
+
+auto service_roll_outs::choose(const state::service_name& service,
+                               const std::vector<state::version_name>& versions,
+                               const std::optional<state::version_name>& pinned, double draw,
+                               state::time_point now) const -> version_choice
+{
+    const auto found = services_.find(service);
+    if (found == services_.end()) {
+        // Endpoints of a new version may be listed before the order is seen.
+        if (versions.size() > 1)
+            return {.only_ = versions.front()};
+        return {};
+    }
+    const auto& item = found->second;
+    const auto& target = item.order_.target_;
+    const auto share = share_of(item, now);
+    const auto has_target = std::ranges::find(versions, target) != versions.end();
+    const auto has_other =
+        std::ranges::any_of(versions, [&](const auto& version) { return version != target; });
+    if (share <= 0.0)
+        return {.except_ = target};
+    if (share >= 1.0)
+        return has_target ? version_choice{.only_ = target} : version_choice{};
+    if (!has_target || !has_other)
+        return {};
+    if (pinned && *pinned == target)
+        return {.only_ = target};
+    const auto is_first_half = now - item.began_ < item.order_.time_allowed_ * half;
+    if (pinned && is_first_half)
+        return {.except_ = target};
+    return draw < share ? version_choice{.only_ = target} : version_choice{.except_ = target};
+}
+
+auto service_roll_outs::sums() const -> counts_map
+{
+    auto all = own_;
+    for (const auto& [from, report] : heard_) {
+        for (const auto& item : report.counts_)
+            all[item.key_] += item.counts_;
+    }
+    return all;
+}
+
+auto service_roll_outs::is_worse(const progress& item, const counts_map& all) const -> bool
+{
+    using by_endpoint = std::map<state::endpoint_id, roll_out::evidence>;
+    auto fresh = std::map<std::string, by_endpoint>{};
+    auto base = std::map<std::string, roll_out::evidence>{};
+    // The empty route stands for all of them together.
+    for (const auto& [key, counts] : all) {
+        if (key.service_ != item.order_.service_)
+            continue;
+        for (const auto& route : {key.route_, std::string{}}) {
+            if (key.version_ == item.order_.target_)
+                fresh[route][key.endpoint_] += counts;
+            else
+                base[route] += counts;
+        }
+    }
+    for (const auto& [route, endpoints] : fresh) {
+        auto sum = roll_out::evidence{};
+        for (const auto& [id, counts] : endpoints)
+            sum += counts;
+        // One endpoint that fails by itself says nothing about its version.
+        const auto worst = std::ranges::max_element(
+            endpoints, {}, [](const auto& entry) { return entry.second.bad_; });
+        if (endpoints.size() > 1) {
+            sum.good_ -= worst->second.good_;
+            sum.bad_ -= worst->second.bad_;
+        }
+        if (sum.bad_ >= fewest_bad && roll_out::judge(base[route], sum, test) == roll_out::test_verdict::worse)
+            return true;
+    }
+    return false;
+}
+
+auto service_roll_outs::judge(state::time_point /*now*/) -> std::vector<state::service_name>
+{
+    auto worse = std::vector<state::service_name>{};
+    if (!is_running())
+        return worse;
+    const auto all = sums();
+    for (auto& [service, item] : services_) {
+        if (item.is_halted_ || is_over(item.order_.state_) || !is_worse(item, all))
+            continue;
+        item.is_halted_ = true;
+        worse.push_back(service);
+    }
+    return worse;
+}
+
+auto service_roll_outs::steps(state::time_point now) const -> std::vector<roll_out_step>
+{
+    auto wanted = std::vector<roll_out_step>{};
+    for (const auto& [service, item] : services_) {
+        if (is_over(item.order_.state_))
+            continue;
+        auto state = staged_roll_out_state::running;
+        if (item.is_halted_)
+            state = staged_roll_out_state::rolled_back;
+        else if (share_of(item, now) >= 1.0 &&
+                 now - item.began_ >= state::duration{static_cast<state::duration::rep>(
+                                          static_cast<double>(item.order_.time_allowed_.count()) *
+                                          complete_from)})
+            state = staged_roll_out_state::completed;
+        if (state != item.order_.state_)
+            wanted.push_back({.service_ = service,
+                              .target_ = item.order_.target_,
+                              .state_ = state,
+                              .revision_ = item.order_.revision_});
+    }
+    return wanted;
+}
+
+} // namespace buckthorndale::coordination::forwarding
--- /dev/null
+++ b/libraries/coordination/forwarding/service_roll_outs.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "coordination/forwarding/version_choice.hpp"
+#include "coordination/roll_out/evidence.hpp"
+#include "state/identifiers.hpp"
+#include "state/staged_roll_out.hpp"
+#include "state/units.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace buckthorndale::coordination::forwarding {
+
+/// Answers of one version on one route from one endpoint.
+struct evidence_key {
+    state::service_name service_;
+    state::version_name version_;
+    std::string route_;
+    state::endpoint_id endpoint_;
+
+    auto operator<=>(const evidence_key&) const = default;
+};
+
+/// Counts under one key, of one router since its start.
+struct evidence_count {
+    evidence_key key_;
+    roll_out::evidence counts_;
+};
+
+/// How long a router has known an order.
+struct roll_out_age {
+    state::service_name service_;
+    std::uint64_t created_{0};
+    state::duration age_{0};
+};
+
+/// What one router tells the others about roll-outs.
+struct roll_out_report {
+    /// Changes when the reporting process starts anew.
+    state::incarnation life_;
+    std::vector<evidence_count> counts_;
+    std::vector<roll_out_age> ages_;
+};
+
+/// A state that should be recorded for a roll-out.
+struct roll_out_step {
+    state::service_name service_;
+    state::version_name target_;
+    state::staged_roll_out_state state_{state::staged_roll_out_state::running};
+    /// The revision of the record that was looked at.
+    std::uint64_t revision_{0};
+
+    auto operator==(const roll_out_step&) const -> bool = default;
+};
+
+/// Moves services to new versions in stages, by time and evidence, and back when a version proves worse.
+/// Every router runs it; the sums that they exchange keep them together, and whoever writes first
+/// records a step.
+class service_roll_outs {
+public:
+    /// Takes over the orders as they are recorded.
+    auto update(const std::vector<state::staged_roll_out>& orders, state::time_point now) -> void;
+
+    /// Counts an answer of this router.
+    auto record(const evidence_key& key, bool is_good) -> void;
+
+    /// Takes over what another router reports.
+    auto hear(const state::instance_id& from, const roll_out_report& report, state::time_point now) -> void;
+
+    /// What the others should know; empty while no roll-out runs.
+    auto report(state::incarnation life, state::time_point now) const -> roll_out_report;
+
+    /// Which versions a request may run on. `versions` are those on offer, the longest known first.
+    /// `draw` is the request's position in the share, from 0 to 1.
+    auto choose(const state::service_name& service, const std::vector<state::version_name>& versions,
+                const std::optional<state::version_name>& pinned, double draw, state::time_point now) const
+        -> version_choice;
+
+    /// Looks at the evidence. Returns the services whose new version was found worse just now.
+    auto judge(state::time_point now) -> std::vector<state::service_name>;
+
+    /// The steps that should be recorded now.
+    auto steps(state::time_point now) const -> std::vector<roll_out_step>;
+
+    /// The part of new requests that goes to the new version, from 0 to 1.
+    auto share(const state::service_name& service, state::time_point now) const -> double;
+
+    auto is_running() const -> bool;
+
+private:
+    struct progress {
+        state::staged_roll_out order_;
+        state::time_point began_;
+        bool is_halted_{false};
+    };
+
+    using counts_map = std::map<evidence_key, roll_out::evidence>;
+
+    static auto share_of(const progress& item, state::time_point now) -> double;
+    auto sums() const -> counts_map;
+    auto is_worse(const progress& item, const counts_map& all) const -> bool;
+
+    std::map<state::service_name, progress> services_;
+    counts_map own_;
+    /// The newest report of each other router; the counts of its earlier lives are dropped with it.
+    std::map<state::instance_id, roll_out_report> heard_;
+};
+
+} // namespace buckthorndale::coordination::forwarding
--- /dev/null
+++ b/libraries/coordination/forwarding/session_pins.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "state/identifiers.hpp"
+#include "state/units.hpp"
+
+#include <cstddef>
+#include <map>
+#include <optional>
+
+namespace buckthorndale::coordination::forwarding {
+
+/// Remembers on which version each session's last request ran.
+class session_pins {
+public:
+    explicit session_pins(state::duration lifetime) : lifetime_{lifetime} {}
+
+    auto find(const state::session_id& session, const state::service_name& service,
+              state::time_point now) const -> std::optional<state::version_name>
+    {
+        const auto found = pins_.find({service, session});
+        if (session.is_empty() || found == pins_.end() || now - found->second.used_ > lifetime_)
+            return std::nullopt;
+        return found->second.version_;
+    }
+
+    auto pin(const state::session_id& session, const state::service_name& service,
+             const state::version_name& version, state::time_point now) -> void
+    {
+        if (!session.is_empty())
+            pins_[{service, session}] = {.version_ = version, .used_ = now};
+    }
+
+    /// Forgets sessions that have ended.
+    auto forget_old(state::time_point now) -> void
+    {
+        std::erase_if(pins_, [&](const auto& item) { return now - item.second.used_ > lifetime_; });
+    }
+
+    auto size() const -> std::size_t { return pins_.size(); }
+
+private:
+    struct entry {
+        state::version_name version_;
+        state::time_point used_;
+    };
+
+    state::duration lifetime_;
+    std::map<std::pair<state::service_name, state::session_id>, entry> pins_;
+};
+
+} // namespace buckthorndale::coordination::forwarding
--- /dev/null
+++ b/libraries/protocol/peer/peer_message.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "coordination/forwarding/service_roll_outs.hpp"
+#include "state/identifiers.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What the entry instances tell each other directly, in datagrams.
+namespace buckthorndale::protocol::peer {
+
+/// Content that was in flight when an endpoint crashed.
+struct crash_word {
+    state::endpoint_id endpoint_;
+    state::content_fingerprint content_;
+};
+
+/// One datagram.
+struct peer_message {
+    state::instance_id from_;
+    coordination::forwarding::roll_out_report roll_outs_;
+    std::vector<crash_word> crashes_;
+};
+
+auto to_text(const peer_message& message) -> std::string;
+
+/// Throws error of kind invalid_request for a datagram that is not such a message.
+auto peer_message_from_text(std::string_view text) -> peer_message;
+
+} // namespace buckthorndale::protocol::peer
--- a/libraries/protocol/settings/log_settings.hpp
+++ b/libraries/protocol/settings/log_settings.hpp
@@ -10,7 +10,7 @@
 struct log_settings {
     /// One of trace, debug, info, warn, error.
     std::string level_{"info"};
-    /// A file's path; empty logs to standard error.
+    /// A file's path; empty logs to standard output.
     std::string file_;
 };
 
--- /dev/null
+++ b/libraries/state/routing_table.cpp
@@ -0,0 +1,17 @@
+#include "state/routing_table.hpp"
+
+namespace buckthorndale::state {
+
+auto routing_table::find_route(std::string_view host, std::string_view path) const -> const route*
+{
+    const route* found = nullptr;
+    for (const auto& candidate : routes_) {
+        if (candidate.host_ != host || !path.starts_with(candidate.path_prefix_))
+            continue;
+        if (found == nullptr || candidate.path_prefix_.size() > found->path_prefix_.size())
+            found = &candidate;
+    }
+    return found;
+}
+
+} // namespace buckthorndale::state
--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace buckthorndale::transport::http {
@@ -30,6 +31,23 @@
     return {client_fault::closed, code.message()};
 }
 
+/// Lets the system probe a connection, so that one that went silent breaks within about three seconds.
+auto watch_for_silence(asio::ip::tcp::socket& socket) -> void
+{
+    constexpr auto idle_seconds = 1;
+    constexpr auto interval_seconds = 1;
+    constexpr auto probes = 2;
+    constexpr auto unacknowledged_milliseconds = 3000;
+    const auto set = [&](int level, int option, int value) {
+        ::setsockopt(socket.native_handle(), level, option, &value, sizeof(value));
+    };
+    set(SOL_SOCKET, SO_KEEPALIVE, 1);
+    set(IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
+    set(IPPROTO_TCP, TCP_KEEPINTVL, interval_seconds);
+    set(IPPROTO_TCP, TCP_KEEPCNT, probes);
+    set(IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledged_milliseconds);
+}
+
 /// Whether an idle connection was closed by the peer, or has bytes that nobody asked for.
 auto is_spoilt(beast::tcp_stream& connection) -> bool
 {
@@ -125,18 +143,34 @@
     auto connection = is_new ? nullptr : take_idle(peer);
     if (!connection)
         connection = co_await connect(peer, bounds.connect_);
-    message.set(beast::http::field::host, peer.text());
+    auto stream = co_await send_over(std::move(connection), peer, std::move(message), bounds.first_byte_);
+    co_await stream->read_header(bounds.first_byte_);
+    co_return stream;
+}
+
+auto client::send(const state::network_address& peer, request message, const limits& bounds,
+                  const std::function<bool()>& is_wanted) -> awaitable<std::unique_ptr<response_stream>>
+{
+    auto connection = co_await connect(peer, bounds.connect_);
+    if (!is_wanted())
+        throw client_error{client_fault::not_sent, "the request is no longer wanted"};
+    co_return co_await send_over(std::move(connection), peer, std::move(message), bounds.first_byte_);
+}
+
+auto client::send_over(std::unique_ptr<beast::tcp_stream> connection, const state::network_address& peer,
+                       request message, state::duration limit) -> awaitable<std::unique_ptr<response_stream>>
+{
+    if (message.find(beast::http::field::host) == message.end())
+        message.set(beast::http::field::host, peer.text());
     message.prepare_payload();
     auto fault = boost::system::error_code{};
-    connection->expires_after(bounds.first_byte_);
+    connection->expires_after(limit);
     const auto wire = to_wire(message);
     co_await asio::async_write(*connection, asio::buffer(wire), asio::redirect_error(use_awaitable, fault));
     // Some bytes may have left before the write failed, so this is not the same as not sent.
     if (fault)
         throw fault_of(fault);
-    auto stream = std::make_unique<response_stream>(*this, peer, std::move(connection));
-    co_await stream->read_header(bounds.first_byte_);
-    co_return stream;
+    co_return std::make_unique<response_stream>(*this, peer, std::move(connection));
 }
 
 auto client::fetch(const state::network_address& peer, request message, const limits& bounds)
@@ -174,6 +208,7 @@
     if (fault)
         throw client_error{client_fault::not_sent, fault.message()};
     connection->socket().set_option(asio::ip::tcp::no_delay{true}, fault);
+    watch_for_silence(connection->socket());
     co_return connection;
 }
 
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -54,6 +55,12 @@
 
     auto header(std::string_view name) const -> std::string;
 
+    /// The status line and all headers.
+    auto head() const -> const parser::value_type::header_type& { return parser_->get().base(); }
+
+    /// Waits for the head of the answer. Throws client_error.
+    auto read_header(state::duration limit) -> awaitable<void>;
+
     /// The next portion of the body; empty at its end. Throws client_error.
     auto read_some(state::duration limit) -> awaitable<std::string>;
 
@@ -69,8 +76,6 @@
 private:
     friend class client;
 
-    auto read_header(state::duration limit) -> awaitable<void>;
-
     client* owner_;
     state::network_address peer_;
     std::unique_ptr<beast::tcp_stream> connection_;
@@ -96,6 +101,11 @@
     auto open(const state::network_address& peer, request message, const limits& bounds, bool is_new)
         -> awaitable<std::unique_ptr<response_stream>>;
 
+    /// Sends a request over a new connection, unless it is no longer wanted once that is open; the head of the
+    /// answer is still to be read. Throws client_error.
+    auto send(const state::network_address& peer, request message, const limits& bounds,
+              const std::function<bool()>& is_wanted) -> awaitable<std::unique_ptr<response_stream>>;
+
     /// Sends a request and reads the whole answer. Throws client_error.
     auto fetch(const state::network_address& peer, request message, const limits& bounds)
         -> awaitable<response>;
@@ -114,6 +124,8 @@
 
     auto connect(const state::network_address& peer, state::duration limit)
         -> awaitable<std::unique_ptr<beast::tcp_stream>>;
+    auto send_over(std::unique_ptr<beast::tcp_stream> connection, const state::network_address& peer,
+                   request message, state::duration limit) -> awaitable<std::unique_ptr<response_stream>>;
     auto take_idle(const state::network_address& peer) -> std::unique_ptr<beast::tcp_stream>;
     auto keep_idle(const state::network_address& peer, std::unique_ptr<beast::tcp_stream> connection) -> void;
 
--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -160,7 +160,9 @@
         auto byte = char{};
         const auto got = ::recv(beast::get_lowest_layer(stream_).socket().native_handle(), &byte, 1,
                                 MSG_PEEK | MSG_DONTWAIT);
-        if (got != 0)
+        const auto has_bytes = got > 0;
+        const auto is_open = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (has_bytes || is_open)
             return;
         const auto tell = std::exchange(when_gone_, {});
         tell();
@@ -177,8 +179,10 @@
         auto fault = boost::system::error_code{};
         if (buffer_.size() == 0) {
             set_limit(shared_->settings_.idle_limit_);
+            shared_->idle_[this] = [this] { close(); };
             const auto got = co_await stream_.async_read_some(buffer_.prepare(first_read_size),
                                                               asio::redirect_error(use_awaitable, fault));
+            shared_->idle_.erase(this);
             if (fault)
                 co_return false;
             buffer_.commit(got);
@@ -302,6 +306,22 @@
     acceptor_.close(ignored);
 }
 
+auto server::close_idle() -> void
+{
+    // Closing makes the connections take themselves out of the map.
+    const auto idle = shared_->idle_;
+    for (const auto& [owner, close] : idle)
+        close();
+}
+
+auto server::set_limits(const state::caller_limits& limits) -> void
+{
+    shared_->settings_.largest_header_ = limits.largest_header_;
+    shared_->settings_.largest_body_ = limits.largest_body_;
+    shared_->settings_.request_limit_ = limits.request_limit_;
+    shared_->settings_.idle_limit_ = limits.idle_limit_;
+}
+
 auto server::port() const -> std::uint16_t
 {
     return acceptor_.local_endpoint().port();
--- a/libraries/transport/http/server.hpp
+++ b/libraries/transport/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "transport/http/exchange.hpp"
+#include "state/routing_table.hpp"
 #include "transport/http/server_settings.hpp"
 #include "transport/http/types.hpp"
 
@@ -12,7 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
+#include <map>
 
 namespace buckthorndale::transport::http {
 
@@ -31,6 +32,15 @@
     /// Takes no new connections; the open ones end after the request they carry.
     auto stop_accepting() -> void;
 
+    /// Takes new connections still, but ends each after the request it carries.
+    auto announce_closing() -> void { shared_->is_stopping_ = true; }
+
+    /// Closes the connections that carry no request now.
+    auto close_idle() -> void;
+
+    /// Takes over new bounds; they hold from the next request of each connection on.
+    auto set_limits(const state::caller_limits& limits) -> void;
+
     /// The port in use, which the system chose when the settings say 0.
     auto port() const -> std::uint16_t;
 
@@ -43,6 +53,8 @@
         exchange_handler handler_;
         std::size_t open_connections_{0};
         bool is_stopping_{false};
+        /// How to close each connection that waits for a request.
+        std::map<const void*, std::function<void()>> idle_;
     };
 
     template <typename Stream>
--- a/libraries/transport/logging/logger.cpp
+++ b/libraries/transport/logging/logger.cpp
@@ -1,5 +1,6 @@
 #include "transport/logging/logger.hpp"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -13,6 +14,19 @@
 
 constexpr auto line_pattern = "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c: %m%n";
 
+/// Lines that may wait to be written. When the reader of the output stalls, later ones are counted and dropped.
+constexpr auto most_waiting_lines = 4096;
+
+/// Writes on a thread of its own, so that a slow reader never holds up the program.
+auto bounded(const log4cxx::AppenderPtr& output) -> log4cxx::AppenderPtr
+{
+    auto appender = std::make_shared<log4cxx::AsyncAppender>();
+    appender->setBufferSize(most_waiting_lines);
+    appender->setBlocking(false);
+    appender->addAppender(output);
+    return appender;
+}
+
 } // namespace
 
 struct logger::implementation {
@@ -24,8 +38,8 @@
     const auto layout = std::make_shared<log4cxx::PatternLayout>(line_pattern);
     auto appender = log4cxx::AppenderPtr{};
     if (settings.file_.empty())
-        appender =
-            std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
+        appender = bounded(
+            std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut()));
     else
         appender = std::make_shared<log4cxx::FileAppender>(layout, settings.file_, true);
     log4cxx::BasicConfigurator::configure(appender);
--- a/libraries/transport/process/signals.cpp
+++ b/libraries/transport/process/signals.cpp
@@ -1,17 +1,19 @@
 #include "transport/process/signals.hpp"
 
 #include <csignal>
+#include <ctime>
 
 namespace buckthorndale::transport::process {
 
 namespace {
 
-auto stop_signals() -> sigset_t
+auto handled_signals() -> sigset_t
 {
     auto set = sigset_t{};
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     return set;
 }
 
@@ -22,16 +24,28 @@
     std::signal(SIGPIPE, SIG_IGN);
 } // NOLINT: the result is of no use
 
+auto wait_for_signal(state::duration limit) -> std::optional<signal_kind>
+{
+    const auto set = handled_signals();
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(limit);
+    const auto time = timespec{.tv_sec = seconds.count(),
+                               .tv_nsec = std::chrono::nanoseconds{limit - seconds}.count()};
+    const auto received = sigtimedwait(&set, nullptr, &time);
+    if (received < 0)
+        return std::nullopt;
+    return received == SIGHUP ? signal_kind::reload : signal_kind::stop;
+}
+
 auto wait_for_stop() -> void
 {
-    const auto set = stop_signals();
-    auto received = 0;
-    sigwait(&set, &received);
+    constexpr auto pause = state::duration{std::chrono::seconds{60}};
+    while (wait_for_signal(pause) != signal_kind::stop) {
+    }
 }
 
-auto block_stop_signals() -> void
+auto block_handled_signals() -> void
 {
-    const auto set = stop_signals();
+    const auto set = handled_signals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
--- a/services/agent/main.cpp
+++ b/services/agent/main.cpp
@@ -34,7 +34,7 @@
     const auto settings = agent::read_agent_settings(command.settings_path_);
     if (command.is_check_)
         return;
-    transport::process::block_stop_signals();
+    transport::process::block_handled_signals();
     transport::logging::set_up(settings.log_);
     const auto log = transport::logging::logger{"agent"};
     const auto life = state::incarnation{transport::process::system_random{}.next()};
--- /dev/null
+++ b/services/front/control_duty.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "coordination/forwarding/endpoint_directory.hpp"
+#include "front/events.hpp"
+#include "front/front_settings.hpp"
+#include "front/object_mirror.hpp"
+#include "front/peer_link.hpp"
+#include "platform/store_client.hpp"
+#include "transport/duty/duty.hpp"
+#include "transport/http/client.hpp"
+#include "transport/http/server.hpp"
+#include "transport/logging/logger.hpp"
+#include "transport/process/clock.hpp"
+#include "transport/process/random.hpp"
+#include "transport/ring/bounded_ring.hpp"
+
+#include <functional>
+#include <set>
+#include <string>
+
+namespace buckthorndale::services::front {
+
+/// The duty that follows the platform's store, records roll-outs there, and talks to the other instances.
+class control_duty {
+public:
+    using limits_callback = std::function<void(const state::caller_limits&)>;
+
+    explicit control_duty(const front_settings& settings);
+
+    /// Connects the ring to the decision duty; to be called before start(). The callback gets the callers'
+    /// limits on the control thread.
+    auto connect(transport::ring::bounded_ring<control_event>& decision, limits_callback on_limits) -> void;
+
+    auto start() -> void;
+    auto stop() -> void;
+
+    auto from_decision() -> transport::ring::bounded_ring<control_action>& { return from_decision_; }
+
+    /// Tells the decision duty that the process is to stop; any thread.
+    auto begin_stop() -> void;
+
+private:
+    /// One kind of object that is followed.
+    struct followed_kind {
+        object_mirror mirror_;
+        std::function<void()> on_change_;
+        bool is_lost_{true};
+        state::time_point lost_since_{};
+    };
+
+    auto follow(followed_kind& kind) -> transport::http::awaitable<void>;
+    auto follow_until_fault(followed_kind& kind) -> transport::http::awaitable<void>;
+    auto mark_regained(followed_kind& kind) -> void;
+    auto mark_lost(followed_kind& kind, const std::string& reason) -> void;
+    auto take_configuration() -> void;
+    auto take_endpoints() -> void;
+    auto publish_endpoints() -> void;
+    auto take_roll_outs() -> void;
+    auto register_instance() -> transport::http::awaitable<void>;
+    auto follow_instances() -> transport::http::awaitable<void>;
+    auto ask_peers_in_outage() -> transport::http::awaitable<void>;
+    auto read_peer(const state::network_address& peer) -> transport::http::awaitable<void>;
+    auto serve_peer(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
+    auto take(control_action& action) -> void;
+    auto record(forwarding::roll_out_step step) -> transport::http::awaitable<void>;
+    auto sleep(state::duration time) -> transport::http::awaitable<void>;
+    auto tell_decision(control_event event) -> void;
+    auto kinds() -> std::vector<followed_kind*>;
+
+    front_settings settings_;
+    transport::logging::logger log_{"control"};
+    transport::process::system_clock clock_;
+    transport::process::system_random random_;
+    transport::duty::duty duty_{"control"};
+    transport::http::client client_;
+    platform::store_client store_;
+    transport::http::server control_server_;
+    peer_link peers_;
+    followed_kind configuration_;
+    followed_kind endpoints_;
+    followed_kind roll_outs_;
+    forwarding::endpoint_directory directory_;
+    boost::asio::steady_timer directory_timer_;
+    state::generation generation_;
+    /// Services whose step is being recorded now.
+    std::set<state::service_name> recording_;
+    limits_callback on_limits_;
+    transport::ring::bounded_ring<control_event>* decision_{nullptr};
+    transport::ring::bounded_ring<control_action> from_decision_;
+};
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/decision_duty.cpp
@@ -0,0 +1,118 @@
+#include <utility>
+
+#include "front/decision_duty.hpp"
+
+#include "state/overloaded.hpp"
+
+namespace buckthorndale::services::front {
+
+namespace {
+
+/// Deadlines are kept to within this.
+constexpr auto tick_interval = std::chrono::milliseconds{20};
+/// Peers hear of roll-outs once in so many ticks, which is once a second.
+constexpr auto ticks_per_report = std::uint64_t{50};
+
+auto engine_settings(const front_settings& settings) -> forwarding::forward_settings
+{
+    return {.data_centre_ = settings.data_centre_, .session_lifetime_ = settings.session_lifetime_};
+}
+
+} // namespace
+
+decision_duty::decision_duty(const front_settings& settings)
+    : instance_{settings.instance_}, life_{random_.next()}, port_{settings.instance_},
+      engine_{clock_, random_, port_, engine_settings(settings)}, timer_{duty_.context()},
+      from_network_{ring_size, duty_.context(), [this](network_event& event) { take(event); }},
+      from_control_{ring_size, duty_.context(), [this](control_event& event) { take(event); }}
+{}
+
+auto decision_duty::connect(decision_port::network_ring& network, decision_port::control_ring& control)
+    -> void
+{
+    port_.connect(network, control);
+}
+
+auto decision_duty::start() -> void
+{
+    schedule_tick();
+    duty_.start();
+}
+
+auto decision_duty::stop() -> void
+{
+    duty_.stop();
+}
+
+auto decision_duty::take(network_event& event) -> void
+{
+    std::visit(
+        state::overloaded{
+            [this](request_arrived& item) { engine_.arrive(item.handle_, std::move(item.request_)); },
+            [this](const forwarding::answer_head& item) { engine_.head_arrived(item); },
+            [this](const forwarding::forward_ending& item) { engine_.attempt_ended(item); },
+            [this](const caller_gone& item) { engine_.caller_left(item.request_); },
+        },
+        event);
+    publish();
+}
+
+auto decision_duty::take(control_event& event) -> void
+{
+    std::visit(state::overloaded{
+                   [this](table_published& item) { engine_.configure(std::move(item.table_)); },
+                   [this](const freshness_changed& item) { engine_.set_fresh(item.is_fresh_); },
+                   [this](const endpoints_published& item) { engine_.update_endpoints(item.endpoints_); },
+                   [this](const roll_outs_published& item) { engine_.update_roll_outs(item.orders_); },
+                   [this](const peer_heard& item) { hear(item.message_); },
+                   [this](const stop_wanted&) { engine_.begin_stop(); },
+               },
+               event);
+    publish();
+}
+
+auto decision_duty::hear(const protocol::peer::peer_message& message) -> void
+{
+    for (const auto& crash : message.crashes_)
+        engine_.learn_crash(crash.endpoint_, crash.content_);
+    if (!message.roll_outs_.ages_.empty())
+        engine_.hear(message.from_, message.roll_outs_);
+}
+
+auto decision_duty::schedule_tick() -> void
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](boost::system::error_code fault) {
+        if (!fault)
+            tick();
+    });
+}
+
+auto decision_duty::tick() -> void
+{
+    engine_.tick();
+    publish();
+    if (++ticks_ % ticks_per_report == 0)
+        report();
+    schedule_tick();
+}
+
+auto decision_duty::report() -> void
+{
+    const auto now = clock_.now();
+    auto& roll_outs = engine_.roll_outs();
+    if (!roll_outs.is_running())
+        return;
+    port_.to_control(tell_peers{{.from_ = instance_, .roll_outs_ = roll_outs.report(life_, now)}});
+    auto steps = roll_outs.steps(now);
+    if (!steps.empty())
+        port_.to_control(record_steps{std::move(steps)});
+}
+
+auto decision_duty::publish() -> void
+{
+    is_ready_.store(engine_.is_ready());
+    requests_inside_.store(engine_.size());
+}
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/decision_duty.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "coordination/forwarding/forward_engine.hpp"
+#include "front/decision_port.hpp"
+#include "front/events.hpp"
+#include "front/front_settings.hpp"
+#include "transport/duty/duty.hpp"
+#include "transport/process/clock.hpp"
+#include "transport/process/random.hpp"
+#include "transport/ring/bounded_ring.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <cstdint>
+
+namespace buckthorndale::services::front {
+
+/// The duty that decides: it runs the forward engine, fed by two rings.
+class decision_duty {
+public:
+    explicit decision_duty(const front_settings& settings);
+
+    /// Connects the rings for actions; to be called before start().
+    auto connect(decision_port::network_ring& network, decision_port::control_ring& control) -> void;
+
+    auto start() -> void;
+    auto stop() -> void;
+
+    auto from_network() -> transport::ring::bounded_ring<network_event>& { return from_network_; }
+
+    auto from_control() -> transport::ring::bounded_ring<control_event>& { return from_control_; }
+
+    /// Whether requests can be served; any thread.
+    auto is_ready() const -> bool { return is_ready_.load(); }
+
+    /// Requests inside; any thread.
+    auto requests_inside() const -> std::size_t { return requests_inside_.load(); }
+
+private:
+    using engine_type = forwarding::forward_engine<transport::process::system_clock,
+                                                   transport::process::system_random, decision_port>;
+
+    auto take(network_event& event) -> void;
+    auto take(control_event& event) -> void;
+    auto hear(const protocol::peer::peer_message& message) -> void;
+    auto schedule_tick() -> void;
+    auto tick() -> void;
+    auto report() -> void;
+    auto publish() -> void;
+
+    state::instance_id instance_;
+    transport::process::system_clock clock_;
+    transport::process::system_random random_;
+    state::incarnation life_;
+    decision_port port_;
+    engine_type engine_;
+    transport::duty::duty duty_{"decision"};
+    boost::asio::steady_timer timer_;
+    transport::ring::bounded_ring<network_event> from_network_;
+    transport::ring::bounded_ring<control_event> from_control_;
+    std::atomic<bool> is_ready_{false};
+    std::atomic<std::size_t> requests_inside_{0};
+    std::uint64_t ticks_{0};
+};
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/decision_port.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "front/events.hpp"
+#include "state/invariant.hpp"
+#include "transport/logging/logger.hpp"
+#include "transport/ring/bounded_ring.hpp"
+
+#include <string>
+#include <utility>
+
+namespace buckthorndale::services::front {
+
+/// Carries the forward engine's actions to the duties that perform them.
+class decision_port {
+public:
+    using network_ring = transport::ring::bounded_ring<network_action>;
+    using control_ring = transport::ring::bounded_ring<control_action>;
+
+    explicit decision_port(state::instance_id instance) : instance_{std::move(instance)} {}
+
+    /// Sets the rings; to be called before the first action.
+    auto connect(network_ring& network, control_ring& control) -> void
+    {
+        network_ = &network;
+        control_ = &control;
+    }
+
+    auto dispatch(const forwarding::forward_order& order) -> void { to_network(order); }
+
+    auto cancel(state::attempt_handle attempt) -> void { to_network(cancel_attempt{attempt}); }
+
+    auto release(state::request_handle request, state::attempt_handle attempt) -> void
+    {
+        to_network(release_attempt{request, attempt});
+    }
+
+    auto finish(state::request_handle request, state::attempt_handle attempt) -> void
+    {
+        to_network(finish_request{request, attempt});
+    }
+
+    auto refuse(state::request_handle request, const coordination::routing::refusal& why) -> void
+    {
+        to_network(refuse_request{request, why});
+    }
+
+    auto announce_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void
+    {
+        auto message = protocol::peer::peer_message{.from_ = instance_};
+        message.crashes_.push_back({.endpoint_ = endpoint, .content_ = content});
+        to_control(tell_peers{std::move(message)});
+    }
+
+    auto log(const forwarding::forward_log& line) -> void
+    {
+        const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(line.since_arrival_);
+        log_.info("request=" + line.request_.text() + " action=" + line.action_ + " route=" + line.route_ +
+                  " endpoint=" + line.endpoint_.text() + " model=" + line.model_ +
+                  " attempt=" + std::to_string(line.attempt_) +
+                  " generation=" + std::to_string(line.generation_.value()) +
+                  " after_ms=" + std::to_string(since.count()) + " reason=\"" + line.reason_ + "\"");
+    }
+
+    auto to_control(control_action action) -> void
+    {
+        // Peers hear the next report all the same.
+        if (!control_->try_push(std::move(action)))
+            log_.warn("The control duty is behind; a message for it was dropped.");
+    }
+
+private:
+    auto to_network(network_action action) -> void
+    {
+        const auto is_taken = network_->try_push(std::move(action));
+        verify(is_taken, state::promise::internal_consistency,
+               "the ring must have room for the requests that one instance may hold");
+    }
+
+    state::instance_id instance_;
+    transport::logging::logger log_{"forward"};
+    network_ring* network_{nullptr};
+    control_ring* control_{nullptr};
+};
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/events.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "coordination/forwarding/forward_ending.hpp"
+#include "coordination/forwarding/forward_engine.hpp"
+#include "coordination/forwarding/forward_order.hpp"
+#include "coordination/forwarding/forward_request.hpp"
+#include "coordination/forwarding/service_roll_outs.hpp"
+#include "coordination/routing/refusal.hpp"
+#include "protocol/peer/peer_message.hpp"
+#include "state/listed_endpoint.hpp"
+#include "state/routing_table.hpp"
+#include "state/staged_roll_out.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <variant>
+#include <vector>
+
+namespace buckthorndale::services::front {
+
+namespace forwarding = coordination::forwarding;
+
+/// Items that a ring between two duties holds; far more than the requests that one instance may hold.
+inline constexpr auto ring_size = std::size_t{8192};
+
+// What the network duty tells the decision duty.
+
+struct request_arrived {
+    state::request_handle handle_;
+    forwarding::forward_request request_;
+};
+
+struct caller_gone {
+    state::request_handle request_;
+};
+
+using network_event =
+    std::variant<request_arrived, forwarding::answer_head, forwarding::forward_ending, caller_gone>;
+
+// What the control duty tells the decision duty.
+
+struct table_published {
+    std::shared_ptr<const state::routing_table> table_;
+};
+
+struct freshness_changed {
+    bool is_fresh_{false};
+};
+
+struct endpoints_published {
+    std::vector<state::listed_endpoint> endpoints_;
+};
+
+struct roll_outs_published {
+    std::vector<state::staged_roll_out> orders_;
+};
+
+struct peer_heard {
+    protocol::peer::peer_message message_;
+};
+
+struct stop_wanted {};
+
+using control_event = std::variant<table_published, freshness_changed, endpoints_published,
+                                   roll_outs_published, peer_heard, stop_wanted>;
+
+// What the decision duty asks of the network duty.
+
+struct cancel_attempt {
+    state::attempt_handle attempt_;
+};
+
+struct release_attempt {
+    state::request_handle request_;
+    state::attempt_handle attempt_;
+};
+
+struct finish_request {
+    state::request_handle request_;
+    state::attempt_handle attempt_;
+};
+
+struct refuse_request {
+    state::request_handle request_;
+    coordination::routing::refusal why_;
+};
+
+using network_action = std::variant<forwarding::forward_order, cancel_attempt, release_attempt,
+                                    finish_request, refuse_request>;
+
+// What the decision duty asks of the control duty.
+
+struct tell_peers {
+    protocol::peer::peer_message message_;
+};
+
+struct record_steps {
+    std::vector<forwarding::roll_out_step> steps_;
+};
+
+using control_action = std::variant<tell_peers, record_steps>;
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/forwarded_call.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "coordination/forwarding/forward_order.hpp"
+#include "front/answer_queue.hpp"
+#include "state/identifiers.hpp"
+#include "transport/http/client.hpp"
+#include "transport/http/types.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace buckthorndale::services::front {
+
+/// One attempt as the network duty sees it.
+struct forward_attempt {
+    forward_attempt(transport::http::asio::io_context& context, coordination::forwarding::forward_order order)
+        : order_{std::move(order)}, released_{context, transport::http::asio::steady_timer::time_point::max()}
+    {}
+
+    coordination::forwarding::forward_order order_;
+    std::unique_ptr<transport::http::response_stream> stream_;
+    bool is_cancelled_{false};
+    /// Whether its answer may be given out.
+    bool is_released_{false};
+    /// Cancelled when the answer is released, or the attempt is.
+    transport::http::asio::steady_timer released_;
+    /// The answer, where it is given out as one.
+    std::optional<transport::http::response> answer_;
+};
+
+/// One caller's request as the network duty sees it.
+struct forwarded_call {
+    forwarded_call(transport::http::asio::io_context& context, state::request_handle handle,
+                   transport::http::request message)
+        : handle_{handle}, message_{std::move(message)}, output_{context}
+    {}
+
+    state::request_handle handle_;
+    transport::http::request message_;
+    answer_queue output_;
+    std::map<state::attempt_handle, std::shared_ptr<forward_attempt>> attempts_;
+    /// Whether the head of a stream was given out.
+    bool has_begun_{false};
+    state::time_point arrived_;
+};
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/front_settings.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "protocol/settings/log_settings.hpp"
+#include "state/identifiers.hpp"
+#include "state/network_address.hpp"
+#include "state/units.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// The program that callers of the users' platform reach.
+namespace buckthorndale::services::front {
+
+struct front_settings {
+    state::instance_id instance_;
+    state::data_centre_id data_centre_;
+    /// Where callers connect.
+    state::network_address callers_;
+    /// Where readiness is asked for and metrics are read.
+    state::network_address probes_;
+    /// Where other instances read the platform's objects while they cannot reach the store.
+    state::network_address control_;
+    /// The port for datagrams between instances, the same on all.
+    std::uint16_t peer_port_{0};
+    /// Control addresses of some instances; they may be stale.
+    std::vector<state::network_address> seeds_;
+    state::network_address store_;
+    /// The process is killed when it has not ended this long after it was told to stop.
+    state::duration stop_limit_{std::chrono::seconds{8}};
+    state::duration session_lifetime_{std::chrono::seconds{5}};
+    protocol::settings::log_settings log_;
+};
+
+/// Reads and checks the settings file. Throws error of kind invalid_settings.
+auto read_front_settings(const std::string& path) -> front_settings;
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/main.cpp
@@ -0,0 +1,108 @@
+#include "front/control_duty.hpp"
+#include "front/decision_duty.hpp"
+#include "front/front_settings.hpp"
+#include "front/network_duty.hpp"
+#include "state/error.hpp"
+#include "transport/logging/logger.hpp"
+#include "transport/process/clock.hpp"
+#include "transport/process/program.hpp"
+#include "transport/process/signals.hpp"
+
+#include <chrono>
+
+namespace {
+
+using namespace buckthorndale; // NOLINT: a program's own file
+namespace front = services::front;
+namespace process = transport::process;
+
+/// The balancer asks once a second and needs two misses; until then it sends new connections.
+constexpr auto balancer_delay = state::duration{std::chrono::milliseconds{2400}};
+/// Requests on their way when the last idle connections were closed.
+constexpr auto settling_time = state::duration{std::chrono::milliseconds{800}};
+/// The part of the time until the kill after which open streams are cut.
+constexpr auto stop_part = 0.92;
+constexpr auto stop_step = state::duration{std::chrono::milliseconds{100}};
+constexpr auto signal_step = state::duration{std::chrono::seconds{30}};
+
+auto reload(const std::string& path, const transport::logging::logger& log) -> void
+{
+    try {
+        front::read_front_settings(path);
+        log.info("settings read again; addresses and seeds hold from the next start on");
+    } catch (const state::error& fault) {
+        log.error(std::string{"settings not taken over reason=\""} + fault.what() + "\"");
+    }
+}
+
+auto wait_for_stop(const std::string& path, const transport::logging::logger& log) -> void
+{
+    while (true) {
+        const auto signal = process::wait_for_signal(signal_step);
+        if (signal == process::signal_kind::stop)
+            return;
+        if (signal == process::signal_kind::reload)
+            reload(path, log);
+    }
+}
+
+/// Lets the requests inside end; the balancer goes on sending new ones for a while.
+auto drain(const front::front_settings& settings, const front::decision_duty& decision,
+           front::network_duty& network, const transport::logging::logger& log) -> void
+{
+    const auto clock = process::system_clock{};
+    const auto began = clock.now();
+    const auto latest = std::chrono::duration_cast<state::duration>(settings.stop_limit_ * stop_part);
+    while (clock.now() - began < latest) {
+        process::wait_for_signal(stop_step);
+        const auto elapsed = clock.now() - began;
+        if (elapsed >= balancer_delay)
+            network.close_idle();
+        if (elapsed >= balancer_delay + settling_time && decision.requests_inside() == 0) {
+            log.info("stopped requests_cut=0");
+            return;
+        }
+    }
+    log.warn("stopped requests_cut=" + std::to_string(decision.requests_inside()) +
+             " reason=\"they did not end in time\"");
+}
+
+auto run(const process::command_line& command) -> void
+{
+    const auto settings = front::read_front_settings(command.settings_path_);
+    if (command.is_check_)
+        return;
+    process::block_handled_signals();
+    transport::logging::set_up(settings.log_);
+    const auto log = transport::logging::logger{"front"};
+
+    auto decision = front::decision_duty{settings};
+    auto control = front::control_duty{settings};
+    auto network = front::network_duty{settings, [&] { return decision.is_ready(); }};
+    decision.connect(network.from_decision(), control.from_decision());
+    control.connect(decision.from_control(),
+                    [&](const state::caller_limits& limits) { network.set_limits(limits); });
+    network.connect(decision.from_network());
+    control.start();
+    decision.start();
+    network.start();
+    log.info("started instance=" + settings.instance_.text() + " release=" + process::release_version() +
+             " callers=" + settings.callers_.text());
+
+    wait_for_stop(command.settings_path_, log);
+    log.info("stopping requests_inside=" + std::to_string(decision.requests_inside()));
+    control.begin_stop();
+    network.announce_closing();
+    drain(settings, decision, network, log);
+    network.stop();
+    decision.stop();
+    control.stop();
+}
+
+} // namespace
+
+auto main(int argument_count, char** arguments) -> int
+{
+    return process::run_service(argument_count, arguments,
+                                "Routes callers' requests on the users' platform.", run);
+}
--- /dev/null
+++ b/services/front/network_duty.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "front/events.hpp"
+#include "front/forward_runner.hpp"
+#include "front/forwarded_call.hpp"
+#include "front/front_settings.hpp"
+#include "front/traffic_metrics.hpp"
+#include "transport/duty/duty.hpp"
+#include "transport/http/server.hpp"
+#include "transport/ring/bounded_ring.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace buckthorndale::services::front {
+
+/// The duty that talks to callers and endpoints. It passes bytes on; the decision duty decides.
+class network_duty {
+public:
+    network_duty(const front_settings& settings, std::function<bool()> is_ready);
+
+    /// Connects the ring to the decision duty; to be called before start().
+    auto connect(transport::ring::bounded_ring<network_event>& decision) -> void { decision_ = &decision; }
+
+    auto start() -> void;
+    auto stop() -> void;
+
+    auto from_decision() -> transport::ring::bounded_ring<network_action>& { return from_decision_; }
+
+    /// Takes over the callers' limits; any thread.
+    auto set_limits(const state::caller_limits& limits) -> void;
+
+    /// From now on each answer ends its connection; any thread.
+    auto announce_closing() -> void;
+
+    /// Closes connections that carry no request; any thread.
+    auto close_idle() -> void;
+
+private:
+    auto serve_caller(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
+    auto serve_probe(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
+    auto write_answer(transport::http::exchange& exchange, forwarded_call& call)
+        -> transport::http::awaitable<void>;
+    auto take(network_action& action) -> void;
+    auto begin_attempt(const forwarding::forward_order& order) -> void;
+    auto run_attempt(std::shared_ptr<forwarded_call> call, std::shared_ptr<forward_attempt> attempt)
+        -> transport::http::awaitable<void>;
+    auto cancel(state::attempt_handle attempt) -> void;
+    auto release(const release_attempt& action) -> void;
+    auto finish(const finish_request& action) -> void;
+    auto refuse(const refuse_request& action) -> void;
+    auto find(state::request_handle handle) -> std::shared_ptr<forwarded_call>;
+    auto tell_decision(network_event event) -> void;
+
+    transport::process::system_clock clock_;
+    transport::duty::duty duty_{"network"};
+    std::function<bool()> is_ready_;
+    traffic_metrics metrics_;
+    transport::http::client client_;
+    forward_runner runner_;
+    transport::http::server callers_;
+    transport::http::server probes_;
+    transport::ring::bounded_ring<network_action> from_decision_;
+    transport::ring::bounded_ring<network_event>* decision_{nullptr};
+    std::unordered_map<state::request_handle, std::shared_ptr<forwarded_call>> calls_;
+    std::unordered_map<state::attempt_handle, std::shared_ptr<forward_attempt>> attempts_;
+    state::request_handle last_handle_;
+};
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/object_mirror.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "platform/store_client.hpp"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace buckthorndale::services::front {
+
+/// The objects of one kind as of the newest revision heard of. Never goes back to an older one.
+class object_mirror {
+public:
+    explicit object_mirror(std::string kind) : kind_{std::move(kind)} {}
+
+    auto kind() const -> const std::string& { return kind_; }
+
+    auto revision() const -> std::uint64_t { return revision_; }
+
+    auto objects() const -> const std::map<std::string, Json::Value>& { return objects_; }
+
+    /// Takes over all objects. Returns false when the listing is older than what is known.
+    auto replace(const platform::object_listing& listing) -> bool;
+
+    auto apply(const platform::object_changes& changes) -> void;
+
+    /// The mirror's contents, for another instance.
+    auto to_value() const -> Json::Value;
+
+private:
+    std::string kind_;
+    std::uint64_t revision_{0};
+    std::map<std::string, Json::Value> objects_;
+};
+
+/// What object_mirror::to_value wrote. Throws store_error of fault malformed for anything else.
+auto listing_from(const Json::Value& value) -> platform::object_listing;
+
+} // namespace buckthorndale::services::front
--- /dev/null
+++ b/services/front/peer_link.cpp
@@ -0,0 +1,100 @@
+#include <utility>
+
+#include "front/peer_link.hpp"
+
+#include "state/error.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <iterator>
+#include <vector>
+
+namespace buckthorndale::services::front {
+
+namespace asio = transport::http::asio;
+
+namespace {
+
+/// The largest datagram over IPv4.
+constexpr auto largest_datagram = std::size_t{65'507};
+
+} // namespace
+
+peer_link::peer_link(asio::io_context& context, const front_settings& settings, message_callback on_message)
+    : own_{settings.control_}, port_{settings.peer_port_},
+      seeds_{settings.seeds_.begin(), settings.seeds_.end()}, on_message_{std::move(on_message)},
+      socket_{context}
+{
+    seeds_.erase(own_);
+    peers_ = seeds_;
+    const auto address = asio::ip::make_address(own_.host_);
+    try {
+        socket_.open(asio::ip::udp::v4());
+        socket_.bind({address, port_});
+        socket_.non_blocking(true);
+    } catch (const boost::system::system_error& fault) {
+        throw state::error{state::error_kind::invalid_settings,
+                           "The port " + std::to_string(port_) +
+                               " cannot be used for datagrams: " + fault.what() + ".",
+                           "Choose a free port of this machine."};
+    }
+}
+
+auto peer_link::start() -> void
+{
+    asio::co_spawn(socket_.get_executor(), receive(), asio::detached);
+}
+
+auto peer_link::set_peers(const std::vector<state::network_address>& peers) -> void
+{
+    peers_ = seeds_;
+    peers_.insert(peers.begin(), peers.end());
+    peers_.erase(own_);
+}
+
+auto peer_link::tell_all(const protocol::peer::peer_message& message) -> void
+{
+    const auto text = protocol::peer::to_text(message);
+    for (const auto& peer : peers_) {
+        auto fault = boost::system::error_code{};
+        const auto to = asio::ip::udp::endpoint{asio::ip::make_address(peer.host_, fault), port_};
+        if (!fault)
+            socket_.send_to(asio::buffer(text), to, 0, fault);
+        // A datagram may be lost anyhow; the next report says the same and more.
+        if (fault)
+            log_.debug("not told address=" + peer.text() + " reason=\"" + fault.message() + "\"");
+    }
+}
+
+auto peer_link::any(std::uint64_t random) const -> std::optional<state::network_address>
+{
+    if (peers_.empty())
+        return std::nullopt;
+    return *std::next(peers_.begin(), static_cast<std::ptrdiff_t>(random % peers_.size()));
+}
+
+auto peer_link::receive() -> transport::http::awaitable<void>
+{
+    auto buffer = std::vector<char>(largest_datagram);
+    while (true) {
+        auto from = asio::ip::udp::endpoint{};
+        auto fault = boost::system::error_code{};
+        const auto size = co_await socket_.async_receive_from(
+            asio::buffer(buffer), from, asio::redirect_error(asio::use_awaitable, fault));
+        // An earlier datagram that could not be delivered shows up here.
+        if (fault)
+            continue;
+        try {
+            on_message_(protocol::peer::peer_message_from_text({buffer.data(), size}));
+        } catch (const state::error& caught) {
+            log_.warn("datagram skipped from=" + from.address().to_string() + " reason=\"" + caught.what() +
+                      "\"");
+        }
+    }
+}
+
+} // namespace buckthorndale::services::front
--- a/services/router/main.cpp
+++ b/services/router/main.cpp
@@ -35,7 +35,7 @@
     const auto settings = router::read_router_settings(command.settings_path_);
     if (command.is_check_)
         return;
-    transport::process::block_stop_signals();
+    transport::process::block_handled_signals();
     transport::logging::set_up(settings.log_);
     const auto log = transport::logging::logger{"router"};
     const auto life = state::incarnation{transport::process::system_random{}.next()};
--- a/utilities/endpoint_stand_in/main.cpp
+++ b/utilities/endpoint_stand_in/main.cpp
@@ -16,7 +16,7 @@
     const auto settings = stand_in::read_endpoint_settings(command.settings_path_);
     if (command.is_check_)
         return;
-    transport::process::block_stop_signals();
+    transport::process::block_handled_signals();
     auto network = transport::duty::duty{"network"};
     auto service = stand_in::endpoint_service{network.context(), settings};
     auto server = transport::http::server{
--- a/utilities/platform_stand_in/main.cpp
+++ b/utilities/platform_stand_in/main.cpp
@@ -41,7 +41,7 @@
     const auto settings = read_settings(command.settings_path_);
     if (command.is_check_)
         return;
-    transport::process::block_stop_signals();
+    transport::process::block_handled_signals();
     auto network = transport::duty::duty{"network"};
     auto service = stand_in::platform_service{network.context(), settings.instances_, settings.list_lag_};
     auto server = transport::http::server{
