forwarding: Follow the load with a window, and decide late heads in the engine

Change: a window for each service by the lateness of heads, less urgent requests held back first; fewer escalations under pressure; a late head is given up only where a retry is granted and others are in time.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -44,9 +44,8 @@
 
 auto endpoint_pool::drop_unused() -> void
 {
-    std::erase_if(views_, [](const auto& item) {
-        return !item.second.is_listed_ && item.second.own_in_flight_ == 0;
-    });
+    std::erase_if(
+        views_, [](const auto& item) { return !item.second.is_listed_ && item.second.own_in_flight_ == 0; });
 }
 
 auto endpoint_pool::candidates(const pool_query& query) const -> std::vector<const view*>
@@ -67,10 +66,9 @@
     const auto usable = candidates(query);
     if (usable.empty())
         return std::nullopt;
-    const auto sum = std::accumulate(usable.begin(), usable.end(), 0.0,
-                                     [](double so_far, const view* known) {
-                                         return so_far + known->own_in_flight_;
-                                     });
+    const auto sum = std::accumulate(usable.begin(), usable.end(), 0.0, [](double so_far, const view* known) {
+        return so_far + known->own_in_flight_;
+    });
     const auto affinity_bound = sum / static_cast<double>(usable.size()) + affinity_headroom;
     // An endpoint that was tried before, or rests, is better than none, in this order.
     const auto rank = [&](const view* known) {
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -25,7 +25,8 @@
     std::set<state::endpoint_id> excluded_;
 };
 
-/// The endpoints as one router knows them: listed, resting after failures, and with its own requests in flight.
+/// The endpoints as one router knows them: listed, resting after failures, and with its own requests in
+/// flight.
 class endpoint_pool {
 public:
     /// Takes over the list. Endpoints that are missing or draining get no new work from now on.
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "coordination/admission/latency_window.hpp"
 #include "coordination/forwarding/answer_pace.hpp"
 #include "coordination/forwarding/endpoint_pool.hpp"
 #include "coordination/forwarding/forward_ending.hpp"
 #include "coordination/forwarding/forward_port.hpp"
 #include "coordination/forwarding/forward_request.hpp"
 #include "coordination/forwarding/forward_settings.hpp"
+#include "coordination/forwarding/head_pace.hpp"
 #include "coordination/forwarding/model_choice.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
@@ -112,6 +114,8 @@
         state::time_point arrived_;
         state::time_point deadline_;
         std::optional<running_attempt> attempt_;
+        /// Where it waits for room; empty when it does not wait.
+        std::optional<state::service_name> waits_for_;
         std::int32_t attempts_{0};
         bool may_have_run_{false};
         /// The model stays from now on.
@@ -124,7 +128,16 @@
     };
 
     auto admit(state::request_handle handle, forward_request request) -> std::optional<routing::refusal>;
-    auto start(entry& item, const std::string& reason) -> void;
+    auto enqueue(entry& item) -> void;
+    /// Starts requests that wait, the most urgent first, as far as there is room.
+    auto pump() -> void;
+    auto sweep_waiting(state::time_point now) -> void;
+    auto sweep_expired(state::time_point now) -> void;
+    /// Gives up attempts whose head is late where another attempt is likely to be faster.
+    auto sweep_late_heads(state::time_point now) -> void;
+    auto abandon_attempt(entry& item) -> running_attempt;
+    auto start(entry& item, const state::service_name& service, const std::string& reason) -> void;
+    auto start_again(entry& item, const std::string& reason) -> void;
     auto query_for(entry& item, const state::service_name& service) -> pool_query;
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const state::endpoint_id& endpoint, const std::string& reason) -> void;
@@ -150,6 +163,8 @@
     service_roll_outs roll_outs_;
     session_pins pins_;
     answer_pace pace_;
+    head_pace head_pace_;
+    std::map<state::service_name, admission::latency_window> windows_;
     suspicion::crash_suspects suspects_;
     std::map<state::service_name, retry::retry_budget> budgets_;
     std::map<state::request_handle, entry> entries_;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -11,10 +11,6 @@
 
 namespace buckthorndale::coordination::forwarding {
 
-/// An attempt that can be repeated and whose head has not come after this part of the latency objective is
-/// given up while there is time for another.
-inline constexpr auto head_part = 0.6;
-
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::dispatch(entry& item, const state::endpoint_id& endpoint,
                                                    const std::string& reason) -> void
@@ -32,10 +28,8 @@
     last_attempt_ = last_attempt_.next();
     const auto left = item.deadline_ - now;
     const auto may_retry = item.route_.is_repeatable() && item.attempts_ < item.route_.most_attempts_;
-    const auto head_limit =
-        std::chrono::duration_cast<state::duration>(item.route_.latency_objective_ * head_part);
-    const auto is_held = !item.is_model_settled_ && !item.model_.is_empty() &&
-                         item.model_ != item.route_.models_.back();
+    const auto is_held =
+        !item.is_model_settled_ && !item.model_.is_empty() && item.model_ != item.route_.models_.back();
     item.attempt_ = running_attempt{.handle_ = last_attempt_,
                                     .endpoint_ = endpoint,
                                     .service_ = known->service_,
@@ -56,7 +50,7 @@
                                  .model_ = item.model_,
                                  .priority_ = item.priority_,
                                  .deadline_ = item.deadline_,
-                                 .head_limit_ = may_retry ? std::min(head_limit, left) : left,
+                                 .head_limit_ = left,
                                  .gap_limit_ = may_retry ? item.route_.gap_objective_ : left,
                                  .resume_after_ = item.last_event_,
                                  .is_held_ = is_held});
@@ -71,14 +65,20 @@
     const auto now = clock_.now();
     auto& attempt = *item->attempt_;
     attempt.head_time_ = now - attempt.started_;
+    const auto objective = item->route_.latency_objective_;
+    windows_[attempt.service_].record_head(*attempt.head_time_, objective, pool_.in_flight(attempt.service_),
+                                           now);
+    // A larger model takes its time also while nobody waits.
+    if (item->route_.models_.empty() || attempt.model_ != item->route_.models_.back())
+        head_pace_.record(item->route_.name_, *attempt.head_time_, objective);
     if (!attempt.is_held_)
         return;
-    const auto better = better_model(
-        item->route_, item->model_,
-        {.confidence_ = head.confidence_.value_or(100),
-         .attempts_left_ = item->route_.most_attempts_ - item->attempts_,
-         .since_arrival_ = now - item->arrived_,
-         .time_left_ = item->deadline_ - now});
+    const auto better = better_model(item->route_, item->model_,
+                                     {.confidence_ = head.confidence_.value_or(100),
+                                      .attempts_left_ = item->route_.most_attempts_ - item->attempts_,
+                                      .since_arrival_ = now - item->arrived_,
+                                      .time_left_ = item->deadline_ - now,
+                                      .pressure_ = head_pace_.pressure(item->route_.name_)});
     if (!better) {
         attempt.is_held_ = false;
         item->is_model_settled_ = true;
@@ -87,15 +87,14 @@
         return;
     }
     port_.cancel(attempt.handle_);
-    const auto ending = forward_ending{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::whole};
+    // How the dropped answer would have ended is not known, so it is no evidence.
     item->may_have_run_ = true;
     pool_.mark_succeeded(attempt.endpoint_);
-    record_evidence(*item, attempt, ending);
     owners_.erase(attempt.handle_);
     pool_.end(attempt.endpoint_);
     item->attempt_.reset();
     item->model_ = *better;
-    start(*item, "escalate at confidence " + std::to_string(head.confidence_.value_or(0)));
+    start_again(*item, "escalate at confidence " + std::to_string(head.confidence_.value_or(0)));
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -108,6 +107,7 @@
     learn(*item, attempt, ending);
     record_evidence(*item, attempt, ending);
     go_on_after(*item, attempt, ending);
+    pump();
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -150,6 +150,7 @@
         return;
     case forward_outcome::declined:
         pool_.mark_full(attempt.endpoint_, now);
+        windows_[attempt.service_].record_declined(now);
         return;
     case forward_outcome::not_sent:
         pool_.mark_unreachable(attempt.endpoint_, now);
@@ -176,12 +177,13 @@
     case forward_outcome::failed:
     case forward_outcome::malformed:
     case forward_outcome::silent:
+    case forward_outcome::broken:
+        // A bad version may break off its streams while the endpoint stays up.
         roll_outs_.record(key, false);
         return;
     case forward_outcome::whole:
         break;
     default:
-        // What breaks a connection says nothing about a version.
         return;
     }
     constexpr auto fewest_events = 4;
@@ -206,7 +208,7 @@
         return;
     }
     if (can_try_again(item, attempt, ending.outcome_)) {
-        start(item, "again");
+        start_again(item, "again");
         return;
     }
     switch (ending.outcome_) {
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -8,6 +8,7 @@
 #include "state/stable_hash.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace buckthorndale::coordination::forwarding {
@@ -20,7 +21,8 @@
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::arrive(state::request_handle handle, forward_request request) -> void
+auto forward_engine<Clock, Random, Port>::arrive(state::request_handle handle, forward_request request)
+    -> void
 {
     const auto id = request.id_;
     const auto refused = admit(handle, std::move(request));
@@ -32,7 +34,8 @@
         port_.refuse(handle, *refused);
         return;
     }
-    start(entries_.at(handle), "first");
+    enqueue(entries_.at(handle));
+    pump();
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -120,9 +123,34 @@
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::start(entry& item, const std::string& reason) -> void
+auto forward_engine<Clock, Random, Port>::enqueue(entry& item) -> void
+{
+    item.waits_for_ = pick_service(item);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::pump() -> void
+{
+    auto waiting = std::vector<entry*>{};
+    for (auto& [handle, item] : entries_) {
+        if (item.waits_for_)
+            waiting.push_back(&item);
+    }
+    const auto order = [](const entry* item) { return std::tuple{item->priority_, item->arrived_}; };
+    std::ranges::sort(waiting, {}, order);
+    for (auto* item : waiting) {
+        const auto service = *item->waits_for_;
+        if (!windows_[service].admits(pool_.in_flight(service), item->priority_))
+            continue;
+        item->waits_for_.reset();
+        start(*item, service, "first");
+    }
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::start(entry& item, const state::service_name& service,
+                                                const std::string& reason) -> void
 {
-    const auto service = pick_service(item);
     const auto endpoint = pool_.choose(query_for(item, service), clock_.now(), random_.next());
     if (!endpoint) {
         const auto kind =
@@ -133,6 +161,12 @@
     dispatch(item, *endpoint, reason);
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::start_again(entry& item, const std::string& reason) -> void
+{
+    start(item, pick_service(item), reason);
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::retry_after() -> state::duration
 {
@@ -156,10 +190,9 @@
 {
     const auto run = item.may_have_run_ ? routing::run_state::unknown : routing::run_state::not_run;
     log(item, "refuse", std::string{state::to_string(kind)} + ": " + detail);
-    port_.refuse(item.handle_, routing::refusal{.kind_ = kind,
-                                                .run_ = run,
-                                                .retry_after_ = retry_after(),
-                                                .detail_ = detail});
+    port_.refuse(
+        item.handle_,
+        routing::refusal{.kind_ = kind, .run_ = run, .retry_after_ = retry_after(), .detail_ = detail});
     entries_.erase(item.handle_);
 }
 
@@ -171,18 +204,43 @@
         return;
     auto& item = found->second;
     log(item, "drop", "the caller left");
-    if (item.attempt_) {
-        port_.cancel(item.attempt_->handle_);
-        pool_.end(item.attempt_->endpoint_);
-        owners_.erase(item.attempt_->handle_);
-    }
+    if (item.attempt_)
+        abandon_attempt(item);
     entries_.erase(found);
+    pump();
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::abandon_attempt(entry& item) -> running_attempt
+{
+    const auto attempt = *item.attempt_;
+    port_.cancel(attempt.handle_);
+    pool_.end(attempt.endpoint_);
+    owners_.erase(attempt.handle_);
+    item.attempt_.reset();
+    item.may_have_run_ = true;
+    return attempt;
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::tick() -> void
 {
     const auto now = clock_.now();
+    sweep_expired(now);
+    sweep_late_heads(now);
+    pump();
+    sweep_waiting(now);
+    pins_.forget_old(now);
+    suspects_.forget_old(now);
+    for (const auto& service : roll_outs_.judge(now))
+        port_.log(forward_log{.action_ = "halt_version",
+                              .reason_ = "the new version of " + service.text() + " answers worse",
+                              .generation_ = table_->generation_});
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::sweep_expired(state::time_point now) -> void
+{
     auto expired = std::vector<state::request_handle>{};
     for (const auto& [handle, item] : entries_) {
         if (now >= item.deadline_)
@@ -190,25 +248,59 @@
     }
     for (const auto handle : expired) {
         auto& item = entries_.at(handle);
-        if (item.attempt_) {
-            port_.cancel(item.attempt_->handle_);
-            pool_.end(item.attempt_->endpoint_);
-            owners_.erase(item.attempt_->handle_);
-            item.attempt_.reset();
-            item.may_have_run_ = true;
-        }
+        if (item.attempt_)
+            abandon_attempt(item);
         refuse(item, state::error_kind::deadline_exceeded, "The time for the request is over.");
     }
-    pins_.forget_old(now);
-    suspects_.forget_old(now);
-    for (const auto& service : roll_outs_.judge(now))
-        port_.log(forward_log{.action_ = "halt_version",
-                              .reason_ = "the new version of " + service.text() + " answers worse",
-                              .generation_ = table_->generation_});
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::log(const entry& item, std::string action, std::string reason) -> void
+auto forward_engine<Clock, Random, Port>::sweep_waiting(state::time_point now) -> void
+{
+    // A request that finds no room by then would only come later and later; its caller can come back instead.
+    constexpr auto longest_wait_part = 8;
+    auto hopeless = std::vector<state::request_handle>{};
+    for (const auto& [handle, item] : entries_) {
+        if (item.waits_for_ && now - item.arrived_ > item.route_.latency_objective_ / longest_wait_part)
+            hopeless.push_back(handle);
+    }
+    for (const auto handle : hopeless)
+        refuse(entries_.at(handle), state::error_kind::no_capacity, "The endpoints are busy.");
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::sweep_late_heads(state::time_point now) -> void
+{
+    // While all answers are late, another attempt would only add to the load.
+    constexpr auto most_pressure = 0.35;
+    constexpr auto late_part = 0.6;
+    auto late = std::vector<state::request_handle>{};
+    for (const auto& [handle, item] : entries_) {
+        if (!item.attempt_ || item.attempt_->head_time_ || !item.route_.is_repeatable())
+            continue;
+        const auto limit =
+            std::chrono::duration_cast<state::duration>(item.route_.latency_objective_ * late_part);
+        if (now - item.attempt_->started_ > limit && item.attempts_ < item.route_.most_attempts_ &&
+            head_pace_.pressure(item.route_.name_) < most_pressure)
+            late.push_back(handle);
+    }
+    for (const auto handle : late) {
+        auto& item = entries_.at(handle);
+        if (!can_try_again(item, *item.attempt_, forward_outcome::silent))
+            continue;
+        const auto attempt = abandon_attempt(item);
+        const auto ending = forward_ending{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::silent};
+        item.excluded_.insert(attempt.endpoint_);
+        head_pace_.record(item.route_.name_, now - attempt.started_, item.route_.latency_objective_);
+        learn(item, attempt, ending);
+        record_evidence(item, attempt, ending);
+        start_again(item, "the head is late");
+    }
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::log(const entry& item, std::string action, std::string reason)
+    -> void
 {
     auto line = forward_log{.request_ = item.request_.id_,
                             .action_ = std::move(action),
--- a/libraries/coordination/forwarding/service_roll_outs.cpp
+++ b/libraries/coordination/forwarding/service_roll_outs.cpp
@@ -19,16 +19,16 @@
 
 // In the first half the share stays, so that sessions need not move. The users' bound on a bad version is
 // 0.15 of the requests; the last stage leaves time for long streams on the old version to end.
-constexpr auto stages =
-    std::array{stage{.from_ = 0.0, .share_ = 0.08}, stage{.from_ = 0.53, .share_ = 0.25},
-               stage{.from_ = 0.62, .share_ = 0.5}, stage{.from_ = 0.70, .share_ = 1.0}};
+constexpr auto stages = std::array{stage{.from_ = 0.0, .share_ = 0.1}, stage{.from_ = 0.53, .share_ = 0.25},
+                                   stage{.from_ = 0.62, .share_ = 0.5}, stage{.from_ = 0.70, .share_ = 1.0}};
 constexpr auto half = 0.5;
 constexpr auto complete_from = 0.88;
 
 /// Fewer bad answers than this never halt a version.
 constexpr auto fewest_bad = 3;
 
-constexpr auto test = roll_out::test_settings{.smallest_harm_ = 0.2, .false_halt_ = 0.01, .false_pass_ = 0.01};
+constexpr auto test =
+    roll_out::test_settings{.smallest_harm_ = 0.2, .false_halt_ = 0.01, .false_pass_ = 0.01};
 
 const auto all_endpoints = state::endpoint_id{"-"};
 
@@ -111,7 +111,8 @@
     if (item.is_halted_ || item.order_.state_ == staged_roll_out_state::rolled_back)
         return 0.0;
     const auto allowed = std::max(item.order_.time_allowed_, state::duration{1});
-    const auto part = std::chrono::duration<double>(now - item.began_) / std::chrono::duration<double>(allowed);
+    const auto part =
+        std::chrono::duration<double>(now - item.began_) / std::chrono::duration<double>(allowed);
     auto share = 0.0;
     for (const auto& step : stages) {
         if (part >= step.from_)
@@ -189,13 +190,14 @@
         for (const auto& [id, counts] : endpoints)
             sum += counts;
         // One endpoint that fails by itself says nothing about its version.
-        const auto worst = std::ranges::max_element(
-            endpoints, {}, [](const auto& entry) { return entry.second.bad_; });
+        const auto worst =
+            std::ranges::max_element(endpoints, {}, [](const auto& entry) { return entry.second.bad_; });
         if (endpoints.size() > 1) {
             sum.good_ -= worst->second.good_;
             sum.bad_ -= worst->second.bad_;
         }
-        if (sum.bad_ >= fewest_bad && roll_out::judge(base[route], sum, test) == roll_out::test_verdict::worse)
+        if (sum.bad_ >= fewest_bad &&
+            roll_out::judge(base[route], sum, test) == roll_out::test_verdict::worse)
             return true;
     }
     return false;
@@ -226,9 +228,9 @@
         if (item.is_halted_)
             state = staged_roll_out_state::rolled_back;
         else if (share_of(item, now) >= 1.0 &&
-                 now - item.began_ >= state::duration{static_cast<state::duration::rep>(
-                                          static_cast<double>(item.order_.time_allowed_.count()) *
-                                          complete_from)})
+                 now - item.began_ >=
+                     state::duration{static_cast<state::duration::rep>(
+                         static_cast<double>(item.order_.time_allowed_.count()) * complete_from)})
             state = staged_roll_out_state::completed;
         if (state != item.order_.state_)
             wanted.push_back({.service_ = service,
--- a/services/front/control_duty.cpp
+++ b/services/front/control_duty.cpp
@@ -26,7 +26,8 @@
 
 namespace {
 
-/// A waiting watch counts as one call, so it waits long; keep-alive probes find a connection that went silent.
+/// A waiting watch counts as one call, so it waits long; keep-alive probes find a connection that went
+/// silent.
 constexpr auto watch_patience = state::duration{std::chrono::seconds{15}};
 /// Changes that come close together are fetched together.
 constexpr auto pause_after_changes = state::duration{std::chrono::milliseconds{100}};
@@ -173,9 +174,8 @@
         if (table->generation_ <= generation_)
             return;
         generation_ = table->generation_;
-        log_.info("configuration in force generation=" + std::to_string(generation_.value()) +
-                  " routes=" + std::to_string(table->routes_.size()) +
-                  " keys=" + std::to_string(table->keys_.size()));
+        log_.info("configuration in force generation=" + std::to_string(generation_.value()) + " routes=" +
+                  std::to_string(table->routes_.size()) + " keys=" + std::to_string(table->keys_.size()));
         on_limits_(table->limits_);
         tell_decision(table_published{std::move(table)});
     } catch (const state::error& fault) {
--- a/services/front/decision_duty.cpp
+++ b/services/front/decision_duty.cpp
@@ -46,14 +46,13 @@
 
 auto decision_duty::take(network_event& event) -> void
 {
-    std::visit(
-        state::overloaded{
-            [this](request_arrived& item) { engine_.arrive(item.handle_, std::move(item.request_)); },
-            [this](const forwarding::answer_head& item) { engine_.head_arrived(item); },
-            [this](const forwarding::forward_ending& item) { engine_.attempt_ended(item); },
-            [this](const caller_gone& item) { engine_.caller_left(item.request_); },
-        },
-        event);
+    std::visit(state::overloaded{
+                   [this](request_arrived& item) { engine_.arrive(item.handle_, std::move(item.request_)); },
+                   [this](const forwarding::answer_head& item) { engine_.head_arrived(item); },
+                   [this](const forwarding::forward_ending& item) { engine_.attempt_ended(item); },
+                   [this](const caller_gone& item) { engine_.caller_left(item.request_); },
+               },
+               event);
     publish();
 }
 
--- a/services/front/decision_port.hpp
+++ b/services/front/decision_port.hpp
@@ -55,9 +55,8 @@
     {
         const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(line.since_arrival_);
         log_.info("request=" + line.request_.text() + " action=" + line.action_ + " route=" + line.route_ +
-                  " endpoint=" + line.endpoint_.text() + " model=" + line.model_ +
-                  " attempt=" + std::to_string(line.attempt_) +
-                  " generation=" + std::to_string(line.generation_.value()) +
+                  " endpoint=" + line.endpoint_.text() + " model=" + line.model_ + " attempt=" +
+                  std::to_string(line.attempt_) + " generation=" + std::to_string(line.generation_.value()) +
                   " after_ms=" + std::to_string(since.count()) + " reason=\"" + line.reason_ + "\"");
     }
 
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -85,8 +85,8 @@
     coordination::routing::refusal why_;
 };
 
-using network_action = std::variant<forwarding::forward_order, cancel_attempt, release_attempt,
-                                    finish_request, refuse_request>;
+using network_action =
+    std::variant<forwarding::forward_order, cancel_attempt, release_attempt, finish_request, refuse_request>;
 
 // What the decision duty asks of the control duty.
 
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -33,8 +33,7 @@
 } // namespace
 
 auto forward_runner::run(std::shared_ptr<forwarded_call> call, std::shared_ptr<forward_attempt> attempt,
-                         head_callback on_head)
-    -> http::awaitable<coordination::forwarding::forward_ending>
+                         head_callback on_head) -> http::awaitable<coordination::forwarding::forward_ending>
 {
     auto state = progress{.call_ = *call, .attempt_ = *attempt, .on_head_ = std::move(on_head)};
     state.ending_.attempt_ = attempt->order_.attempt_;
@@ -59,10 +58,10 @@
     auto& attempt = state.attempt_;
     const auto& order = attempt.order_;
     const auto sent = platform::endpoint_request(state.call_.message_, order, clock_.now());
-    const auto bounds = http::client::limits{
-        .connect_ = std::min(connect_limit, order.head_limit_), .first_byte_ = order.head_limit_};
-    attempt.stream_ = co_await client_.send(order.address_, sent, bounds,
-                                            [&attempt] { return !attempt.is_cancelled_; });
+    const auto bounds = http::client::limits{.connect_ = std::min(connect_limit, order.head_limit_),
+                                             .first_byte_ = order.head_limit_};
+    attempt.stream_ =
+        co_await client_.send(order.address_, sent, bounds, [&attempt] { return !attempt.is_cancelled_; });
     if (attempt.is_cancelled_)
         co_return;
     co_await attempt.stream_->read_header(order.head_limit_);
@@ -102,8 +101,7 @@
     state.on_head_({.attempt_ = attempt.order_.attempt_, .confidence_ = head.confidence_});
     while (attempt.order_.is_held_ && !attempt.is_released_ && !attempt.is_cancelled_) {
         auto ignored = boost::system::error_code{};
-        co_await attempt.released_.async_wait(
-            http::asio::redirect_error(http::asio::use_awaitable, ignored));
+        co_await attempt.released_.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
     }
     co_return !attempt.is_cancelled_;
 }
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -40,7 +40,8 @@
     auto read_whole(progress& state) -> transport::http::awaitable<void>;
     auto follow_stream(progress& state) -> transport::http::awaitable<void>;
     auto give_out(progress& state, protocol::event_stream::raw_event event) -> void;
-    auto judge_fault(progress& state, transport::http::client_fault fault) -> transport::http::awaitable<void>;
+    auto judge_fault(progress& state, transport::http::client_fault fault)
+        -> transport::http::awaitable<void>;
 
     transport::process::system_clock clock_;
     transport::http::client& client_;
--- a/services/front/main.cpp
+++ b/services/front/main.cpp
@@ -103,6 +103,6 @@
 
 auto main(int argument_count, char** arguments) -> int
 {
-    return process::run_service(argument_count, arguments,
-                                "Routes callers' requests on the users' platform.", run);
+    return process::run_service(argument_count, arguments, "Routes callers' requests on the users' platform.",
+                                run);
 }
