forwarding: Count no attempt where an endpoint was not reached

Cause: a dark endpoint used up a request's attempts although nothing was sent to it. Rests of unreachable endpoints grow now, and probes find silent connections within 2 s.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -15,7 +15,7 @@
 constexpr auto failures_before_rest = 3;
 constexpr auto shortest_rest = state::duration{std::chrono::milliseconds{500}};
 constexpr auto longest_rest = state::duration{std::chrono::seconds{4}};
-constexpr auto rest_when_unreachable = state::duration{std::chrono::milliseconds{1000}};
+constexpr auto rest_when_unreachable = state::duration{std::chrono::milliseconds{700}};
 constexpr auto rest_when_full = state::duration{std::chrono::milliseconds{100}};
 
 /// An endpoint keeps its affinity until it holds this many more of the router's requests than the mean.
@@ -149,7 +149,8 @@
 {
     if (auto* known = find_view(id)) {
         ++known->failures_in_a_row_;
-        known->rests_until_ = now + rest_when_unreachable;
+        const auto rest = rest_when_unreachable * (1 << std::min(known->failures_in_a_row_ - 1, 4));
+        known->rests_until_ = now + std::min(rest, longest_rest);
     }
 }
 
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -117,6 +117,8 @@
         /// Where it waits for room; empty when it does not wait.
         std::optional<state::service_name> waits_for_;
         std::int32_t attempts_{0};
+        /// Endpoints that could not be reached; those are no attempts.
+        std::int32_t unreached_{0};
         bool may_have_run_{false};
         /// The model stays from now on.
         bool is_model_settled_{false};
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -22,7 +22,7 @@
            "a request that may not be repeated must not run again");
     verify(item.attempts_ < item.route_.most_attempts_, state::promise::internal_consistency,
            "a request must not be tried more often than its route allows");
-    if (item.attempts_ == 0)
+    if (item.attempts_ == 0 && item.unreached_ == 0)
         budgets_[known->service_].earn();
     ++item.attempts_;
     last_attempt_ = last_attempt_.next();
@@ -123,6 +123,11 @@
                              ending.outcome_ == forward_outcome::not_sent;
     if (!has_not_run)
         item.may_have_run_ = true;
+    // What never left for an endpoint is no attempt there.
+    if (ending.outcome_ == forward_outcome::not_sent) {
+        --item.attempts_;
+        ++item.unreached_;
+    }
     if (!ending.last_event_.empty()) {
         item.last_event_ = ending.last_event_;
         item.is_released_ = true;
@@ -238,6 +243,9 @@
     const auto is_harmless = item.route_.is_repeatable() || !item.may_have_run_;
     if (!is_harmless || item.attempts_ >= item.route_.most_attempts_)
         return false;
+    constexpr auto most_unreached = 6;
+    if (outcome == forward_outcome::not_sent)
+        return item.unreached_ < most_unreached;
     if (outcome == forward_outcome::crashed && suspects_.is_convicted(item.request_.content_))
         return false;
     constexpr auto least_time_left = state::duration{std::chrono::milliseconds{50}};
--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -31,13 +31,13 @@
     return {client_fault::closed, code.message()};
 }
 
-/// Lets the system probe a connection, so that one that went silent breaks within about three seconds.
+/// Lets the system probe a connection, so that one that went silent breaks within about two seconds.
 auto watch_for_silence(asio::ip::tcp::socket& socket) -> void
 {
     constexpr auto idle_seconds = 1;
     constexpr auto interval_seconds = 1;
-    constexpr auto probes = 2;
-    constexpr auto unacknowledged_milliseconds = 3000;
+    constexpr auto probes = 1;
+    constexpr auto unacknowledged_milliseconds = 1200;
     const auto set = [&](int level, int option, int value) {
         ::setsockopt(socket.native_handle(), level, option, &value, sizeof(value));
     };
