--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -4,6 +4,7 @@
 #include "state/stable_hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <tuple>
 
@@ -20,6 +21,12 @@
 
 /// An endpoint keeps its affinity until it holds this many more of the router's requests than the mean.
 constexpr auto affinity_headroom = 4.0;
+/// An endpoint whose heads are later than the mean by this part of the objective is passed over.
+constexpr auto pressure_headroom = 0.15;
+/// Weight of a new head against those before.
+constexpr auto newest_weight = 0.3;
+/// What was heard of an endpoint loses weight with this time constant, since its queue changes.
+constexpr auto pressure_lifetime = state::duration{std::chrono::seconds{3}};
 
 } // namespace
 
@@ -69,6 +76,10 @@
     const auto sum = std::accumulate(usable.begin(), usable.end(), 0.0, [](double so_far, const view* known) {
         return so_far + known->own_in_flight_;
     });
+    const auto pressures = std::accumulate(
+        usable.begin(), usable.end(), 0.0,
+        [now](double so_far, const view* known) { return so_far + pressure_of(*known, now); });
+    const auto pressure_bound = pressures / static_cast<double>(usable.size()) + pressure_headroom;
     const auto affinity_bound = sum / static_cast<double>(usable.size()) + affinity_headroom;
     // An endpoint that was tried before, or rests, is better than none, in this order.
     const auto rank = [&](const view* known) {
@@ -77,10 +88,12 @@
         const auto rests = known->rests_until_ > now;
         if (query.affinity_.empty()) {
             const auto is_far = known->endpoint_.data_centre_ != query.data_centre_;
-            const auto load = known->own_in_flight_ + (is_far ? 1 : 0);
+            const auto is_slow = pressure_of(*known, now) > pressure_bound;
+            const auto load = known->own_in_flight_ + (is_far ? 1 : 0) + (is_slow ? 1 : 0);
             return std::tuple{was_tried, rests, false, load, state::stable_hash(id.text(), random)};
         }
-        const auto is_over = known->own_in_flight_ > affinity_bound;
+        const auto is_over =
+            known->own_in_flight_ > affinity_bound || pressure_of(*known, now) > pressure_bound;
         const auto home = state::stable_hash(id.text(), state::stable_hash(query.affinity_));
         return std::tuple{was_tried, rests, is_over, 0, home};
     };
@@ -125,6 +138,22 @@
     drop_unused();
 }
 
+auto endpoint_pool::pressure_of(const view& known, state::time_point now) -> double
+{
+    const auto age = std::chrono::duration<double>(now - known.heard_at_);
+    return known.pressure_ * std::exp(-age / std::chrono::duration<double>(pressure_lifetime));
+}
+
+auto endpoint_pool::record_head(const state::endpoint_id& id, double part, state::time_point now) -> void
+{
+    auto* known = find_view(id);
+    if (known == nullptr)
+        return;
+    const auto before = pressure_of(*known, now);
+    known->pressure_ = before + newest_weight * (part - before);
+    known->heard_at_ = now;
+}
+
 auto endpoint_pool::mark_succeeded(const state::endpoint_id& id) -> void
 {
     if (auto* known = find_view(id)) {
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -44,6 +44,9 @@
     auto begin(const state::endpoint_id& id) -> void;
     auto end(const state::endpoint_id& id) -> void;
 
+    /// Notes how long the head of an answer took, as a part of its latency objective.
+    auto record_head(const state::endpoint_id& id, double part, state::time_point now) -> void;
+
     /// Notes an attempt that went well, or whose failure was not the endpoint's.
     auto mark_succeeded(const state::endpoint_id& id) -> void;
 
@@ -74,8 +77,13 @@
         std::int32_t own_in_flight_{0};
         std::int32_t failures_in_a_row_{0};
         state::time_point rests_until_{};
+        /// How late heads of its answers were when it was last heard of; 0 at once, 1 the whole objective.
+        double pressure_{0};
+        state::time_point heard_at_{};
     };
 
+    static auto pressure_of(const view& known, state::time_point now) -> double;
+
     auto candidates(const pool_query& query) const -> std::vector<const view*>;
     auto drop_unused() -> void;
     auto find_view(const state::endpoint_id& id) -> view*;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -68,6 +68,9 @@
     const auto objective = item->route_.latency_objective_;
     windows_[attempt.service_].record_head(*attempt.head_time_, objective, pool_.in_flight(attempt.service_),
                                            now);
+    pool_.record_head(attempt.endpoint_,
+                      std::chrono::duration<double>(*attempt.head_time_) / std::chrono::duration<double>(objective),
+                      now);
     // A larger model takes its time also while nobody waits.
     if (item->route_.models_.empty() || attempt.model_ != item->route_.models_.back())
         head_pace_.record(item->route_.name_, *attempt.head_time_, objective);
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -292,6 +292,7 @@
         const auto ending = forward_ending{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::silent};
         item.excluded_.insert(attempt.endpoint_);
         head_pace_.record(item.route_.name_, now - attempt.started_, item.route_.latency_objective_);
+        pool_.record_head(attempt.endpoint_, 1.0, now);
         learn(item, attempt, ending);
         record_evidence(item, attempt, ending);
         start_again(item, "the head is late");
--- a/libraries/coordination/forwarding/model_choice.cpp
+++ b/libraries/coordination/forwarding/model_choice.cpp
@@ -12,8 +12,8 @@
 constexpr auto latest_part = 0.6;
 
 /// Up to this pressure all answers below the confidence are asked for again; from the second one on, none.
-constexpr auto calm_pressure = 0.25;
-constexpr auto full_pressure = 0.6;
+constexpr auto calm_pressure = 0.05;
+constexpr auto full_pressure = 0.3;
 
 /// The confidence below which an answer is asked for again under a pressure.
 auto wanted_confidence(double pressure) -> double
