--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -22,7 +22,7 @@
 /// An endpoint keeps its affinity until it holds this many more of the router's requests than the mean.
 constexpr auto affinity_headroom = 4.0;
 /// An endpoint whose heads are later than the mean by this part of the objective is passed over.
-constexpr auto pressure_headroom = 0.15;
+constexpr auto pressure_headroom = 0.4;
 /// Weight of a new head against those before.
 constexpr auto newest_weight = 0.3;
 /// What was heard of an endpoint loses weight with this time constant, since its queue changes.
