--- a/meta/run_tests.sh
+++ b/meta/run_tests.sh
@@ -48,7 +48,7 @@
 export build
 
 # The cases do not share anything, so they run side by side.
-for library in state coordination protocol transport; do
+for library in state coordination protocol transport platform; do
     export logs="$build/logs/$library"
     rm -rf "$logs"
     mkdir -p "$logs"
--- /dev/null
+++ b/tests/coordination/forwarding.cpp
@@ -0,0 +1,291 @@
+#include "coordination/admission/latency_window.hpp"
+#include "coordination/forwarding/answer_pace.hpp"
+#include "coordination/forwarding/endpoint_directory.hpp"
+#include "coordination/forwarding/endpoint_pool.hpp"
+#include "coordination/forwarding/model_choice.hpp"
+#include "coordination/forwarding/service_roll_outs.hpp"
+#include "coordination/forwarding/session_pins.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+namespace buckthorndale::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace forwarding = coordination::forwarding;
+
+const auto service = state::service_name{"advice"};
+const auto old_version = state::version_name{"v1"};
+const auto new_version = state::version_name{"v2"};
+
+auto endpoint(const std::string& id, const state::version_name& version = old_version)
+    -> state::listed_endpoint
+{
+    return {.id_ = state::endpoint_id{id},
+            .service_ = service,
+            .address_ = {.host_ = "10.0.0.1", .port_ = 80},
+            .data_centre_ = state::data_centre_id{"north"},
+            .version_ = version,
+            .slots_ = 8,
+            .registered_at_ = version == old_version ? 1U : 9U};
+}
+
+auto at(state::duration time) -> state::time_point
+{
+    return state::time_point{time};
+}
+
+auto order(state::staged_roll_out_state state = state::staged_roll_out_state::ordered)
+    -> state::staged_roll_out
+{
+    return {.service_ = service,
+            .target_ = new_version,
+            .time_allowed_ = 20s,
+            .state_ = state,
+            .revision_ = 5,
+            .created_ = 4};
+}
+
+auto key(const state::version_name& version, const std::string& endpoint_name)
+    -> forwarding::evidence_key
+{
+    return {.service_ = service,
+            .version_ = version,
+            .route_ = "inquiry",
+            .endpoint_ = state::endpoint_id{endpoint_name}};
+}
+
+const auto both = std::vector{old_version, new_version};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(forwarding_decisions)
+
+BOOST_AUTO_TEST_CASE(an_endpoint_that_leaves_gets_no_new_work)
+{
+    auto pool = forwarding::endpoint_pool{};
+    auto draining = endpoint("e1");
+    draining.is_draining_ = true;
+    pool.update({draining, endpoint("e2"), endpoint("e3")});
+    pool.mark_leaving(state::endpoint_id{"e3"});
+    for (auto random = 0U; random < 50; ++random)
+        BOOST_TEST(pool.choose({.service_ = service}, at(1s), random)->text() == "e2");
+    pool.update({draining});
+    BOOST_TEST(!pool.choose({.service_ = service}, at(1s), 1).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_reborn_endpoint_is_usable_again)
+{
+    auto pool = forwarding::endpoint_pool{};
+    auto first = endpoint("e1");
+    first.life_ = 1;
+    pool.update({first});
+    pool.mark_leaving(first.id_);
+    BOOST_TEST(!pool.choose({.service_ = service}, at(1s), 1).has_value());
+    first.life_ = 2;
+    pool.update({first});
+    BOOST_TEST(pool.choose({.service_ = service}, at(1s), 1).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_subject_has_one_home_until_the_home_is_busy)
+{
+    auto pool = forwarding::endpoint_pool{};
+    pool.update({endpoint("e1"), endpoint("e2"), endpoint("e3")});
+    const auto query = forwarding::pool_query{.service_ = service, .affinity_ = "subject"};
+    const auto home = *pool.choose(query, at(1s), 1);
+    for (auto random = 0U; random < 20; ++random)
+        BOOST_TEST(*pool.choose(query, at(1s), random) == home);
+    for (auto i = 0; i < 8; ++i)
+        pool.begin(home);
+    BOOST_TEST(*pool.choose(query, at(1s), 1) != home);
+    for (auto i = 0; i < 8; ++i)
+        pool.end(home);
+    for (auto i = 0; i < 8; ++i)
+        pool.record_head(home, 1.0, at(1s));
+    BOOST_TEST(*pool.choose(query, at(1s), 1) != home);
+    // What was heard of an endpoint is forgotten in time.
+    BOOST_TEST(*pool.choose(query, at(20s), 1) == home);
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_that_cannot_be_reached_rest_and_are_used_when_all_rest)
+{
+    auto pool = forwarding::endpoint_pool{};
+    pool.update({endpoint("e1"), endpoint("e2")});
+    pool.mark_unreachable(state::endpoint_id{"e1"}, at(1s));
+    for (auto random = 0U; random < 20; ++random)
+        BOOST_TEST(pool.choose({.service_ = service}, at(1100ms), random)->text() == "e2");
+    pool.mark_unreachable(state::endpoint_id{"e2"}, at(1s));
+    BOOST_TEST(pool.choose({.service_ = service}, at(1100ms), 3).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(entries_that_lapse_in_an_outage_are_kept_until_shortly_after_it)
+{
+    auto directory = forwarding::endpoint_directory{};
+    directory.list({endpoint("e1"), endpoint("e2")}, at(1s));
+    directory.lose();
+    directory.regain(at(10s));
+    directory.list({endpoint("e2")}, at(10s));
+    BOOST_TEST(directory.current(at(11s)).size() == 2U);
+    BOOST_REQUIRE(directory.next_end(at(11s)).has_value());
+    BOOST_TEST(directory.current(*directory.next_end(at(11s))).size() == 1U);
+    // Without an outage a missing entry is gone at once.
+    directory.list({}, at(20s));
+    BOOST_TEST(directory.current(at(20s)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_entry_is_not_kept)
+{
+    auto directory = forwarding::endpoint_directory{};
+    auto leaving = endpoint("e1");
+    leaving.is_draining_ = true;
+    directory.list({leaving}, at(1s));
+    directory.lose();
+    directory.regain(at(10s));
+    directory.list({}, at(10s));
+    BOOST_TEST(directory.current(at(10s)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(before_its_order_is_seen_a_new_version_gets_nothing)
+{
+    const auto roll_outs = forwarding::service_roll_outs{};
+    const auto choice = roll_outs.choose(service, both, std::nullopt, 0.0, at(1s));
+    BOOST_TEST(choice.allows(old_version));
+    BOOST_TEST(!choice.allows(new_version));
+}
+
+BOOST_AUTO_TEST_CASE(a_good_version_takes_over_in_stages_within_its_time)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order()}, at(0s));
+    BOOST_TEST(roll_outs.share(service, at(9s)) < 0.15);
+    BOOST_TEST(roll_outs.share(service, at(9s)) > 0.0);
+    BOOST_TEST(roll_outs.share(service, at(15s)) == 1.0);
+    BOOST_REQUIRE(roll_outs.steps(at(1s)).size() == 1U);
+    BOOST_CHECK(roll_outs.steps(at(1s)).front().state_ == state::staged_roll_out_state::running);
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(1s));
+    BOOST_TEST(roll_outs.steps(at(15s)).empty());
+    BOOST_REQUIRE(roll_outs.steps(at(19s)).size() == 1U);
+    BOOST_CHECK(roll_outs.steps(at(19s)).front().state_ == state::staged_roll_out_state::completed);
+}
+
+BOOST_AUTO_TEST_CASE(sessions_stay_on_their_version)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    // In the first half nobody moves; a session on the new version never goes back.
+    BOOST_TEST(!roll_outs.choose(service, both, old_version, 0.0, at(9s)).allows(new_version));
+    BOOST_TEST(!roll_outs.choose(service, both, new_version, 0.99, at(9s)).allows(old_version));
+    BOOST_TEST(!roll_outs.choose(service, both, new_version, 0.99, at(13s)).allows(old_version));
+    auto pins = forwarding::session_pins{5s};
+    pins.pin(state::session_id{"s"}, service, new_version, at(1s));
+    BOOST_TEST(pins.find(state::session_id{"s"}, service, at(5s)).value() == new_version);
+    BOOST_TEST(!pins.find(state::session_id{"s"}, service, at(7s)).has_value());
+    BOOST_TEST(!pins.find(state::session_id{}, service, at(1s)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_bad_version_is_halted_by_the_evidence_of_all_instances)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    for (auto i = 0; i < 40; ++i)
+        roll_outs.record(key(old_version, "e1"), true);
+    BOOST_TEST(roll_outs.judge(at(2s)).empty());
+    auto report = forwarding::roll_out_report{.life_ = state::incarnation{7}};
+    report.counts_ = {{key(new_version, "e5"), {.good_ = 2, .bad_ = 3}},
+                      {key(new_version, "e6"), {.good_ = 2, .bad_ = 2}},
+                      {key(new_version, "e7"), {.good_ = 1, .bad_ = 3}}};
+    roll_outs.hear(state::instance_id{"other"}, report, at(3s));
+    // Hearing the same report again adds nothing.
+    roll_outs.hear(state::instance_id{"other"}, report, at(3s));
+    BOOST_REQUIRE(roll_outs.judge(at(3s)).size() == 1U);
+    BOOST_TEST(roll_outs.share(service, at(3s)) == 0.0);
+    BOOST_TEST(!roll_outs.choose(service, both, new_version, 0.0, at(3s)).allows(new_version));
+    BOOST_CHECK(roll_outs.steps(at(3s)).front().state_ == state::staged_roll_out_state::rolled_back);
+    // An older copy of the record does not bring it back.
+    roll_outs.update({order(state::staged_roll_out_state::rolled_back)}, at(4s));
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(5s));
+    BOOST_TEST(roll_outs.share(service, at(19s)) == 0.0);
+}
+
+BOOST_AUTO_TEST_CASE(one_bad_endpoint_does_not_halt_a_version)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    for (auto i = 0; i < 40; ++i)
+        roll_outs.record(key(old_version, "e1"), true);
+    for (auto i = 0; i < 12; ++i) {
+        roll_outs.record(key(new_version, "e5"), i % 2 == 0);
+        roll_outs.record(key(new_version, "e6"), true);
+        roll_outs.record(key(new_version, "e7"), true);
+    }
+    BOOST_TEST(roll_outs.judge(at(3s)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_late_starter_takes_over_the_age_of_a_roll_out)
+{
+    auto early = forwarding::service_roll_outs{};
+    early.update({order(state::staged_roll_out_state::running)}, at(0s));
+    auto late = forwarding::service_roll_outs{};
+    late.update({order(state::staged_roll_out_state::running)}, at(100s));
+    late.hear(state::instance_id{"early"}, early.report(state::incarnation{1}, at(15s)), at(100s));
+    BOOST_TEST(late.share(service, at(100s)) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(answers_far_slower_than_usual_are_found)
+{
+    auto pace = forwarding::answer_pace{};
+    const auto model = state::model_name{"small"};
+    BOOST_TEST(!pace.is_slow("inquiry", model, 10s));
+    for (auto i = 0; i < 10; ++i)
+        pace.record("inquiry", model, 20ms);
+    BOOST_TEST(!pace.is_slow("inquiry", model, 40ms));
+    BOOST_TEST(pace.is_slow("inquiry", model, 160ms));
+    BOOST_TEST(!pace.is_slow("other", model, 160ms));
+}
+
+BOOST_AUTO_TEST_CASE(poor_answers_are_asked_for_again_while_endpoints_have_time)
+{
+    auto route = state::route{};
+    route.latency_objective_ = 3s;
+    route.models_ = {state::model_name{"small"}, state::model_name{"middle"}, state::model_name{"large"}};
+    const auto small = forwarding::first_model(route);
+    auto query = forwarding::escalation_query{
+        .confidence_ = 20, .attempts_left_ = 1, .since_arrival_ = 300ms, .time_left_ = 10s, .pressure_ = 0.0};
+    BOOST_TEST(forwarding::better_model(route, small, query)->text() == "large");
+    query.confidence_ = 80;
+    BOOST_TEST(!forwarding::better_model(route, small, query).has_value());
+    query.confidence_ = 20;
+    query.attempts_left_ = 0;
+    BOOST_TEST(!forwarding::better_model(route, small, query).has_value());
+    query.attempts_left_ = 1;
+    query.pressure_ = 0.9;
+    BOOST_TEST(!forwarding::better_model(route, small, query).has_value());
+    query.pressure_ = 0.0;
+    query.since_arrival_ = 2500ms;
+    BOOST_TEST(!forwarding::better_model(route, small, query).has_value());
+    query.since_arrival_ = 300ms;
+    BOOST_TEST(!forwarding::better_model(route, state::model_name{"large"}, query).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(the_window_closes_while_answers_are_late_and_opens_again)
+{
+    auto window = coordination::admission::latency_window{};
+    const auto before = window.size();
+    for (auto i = 0; i < 20; ++i)
+        window.record_head(2s, 1s, 20, at(i * 500ms));
+    BOOST_TEST(window.size() < before / 4);
+    // Less urgent requests are held back first, and one of each always finds room.
+    BOOST_TEST(window.admits(2, 0));
+    BOOST_TEST(!window.admits(2, 3));
+    BOOST_TEST(window.admits(0, 9));
+    for (auto i = 0; i < 60; ++i)
+        window.record_head(100ms, 1s, static_cast<std::int32_t>(window.size()), at(20s));
+    BOOST_TEST(window.size() > before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace buckthorndale::tests
--- /dev/null
+++ b/tests/platform/codecs.cpp
@@ -0,0 +1,221 @@
+#include "coordination/time/seeded_random.hpp"
+#include "platform/caller_codec.hpp"
+#include "platform/endpoint_codec.hpp"
+#include "platform/names.hpp"
+#include "platform/object_codec.hpp"
+#include "protocol/json/text.hpp"
+#include "state/error.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace buckthorndale::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace http = transport::http;
+
+constexpr auto configuration_text = R"({
+  "metadata": { "name": "main", "revision": 7, "created": 3 },
+  "spec": {
+    "version": 12, "unknown": true,
+    "routes": [
+      { "name": "r1", "host": "h", "pathPrefix": "/a/", "kind": "streaming", "timeoutMs": 15000.0,
+        "targetLatencyMs": 3000, "targetGapMs": 800, "priority": 1, "sizes": ["s", "l"], "maxAttempts": 3,
+        "resumable": true, "trafficSplit": [ { "service": "x", "weight": 90 }, { "service": "y", "weight": 10 } ] },
+      { "name": "r2", "host": "h", "pathPrefix": "/a/b/", "kind": "non_idempotent", "service": "z", "anonymous": true }
+    ],
+    "limits": { "maxHeaderBytes": 100, "maxBodyBytes": 200, "headerTimeoutMs": 300, "idleTimeoutMs": 400 },
+    "tenants": [ { "name": "t", "apiKeys": [ "k1", "k2" ], "priority": 2 } ]
+  } })";
+
+constexpr auto endpoint_text = R"({
+  "metadata": { "name": "e1", "revision": 9, "created": 4 },
+  "spec": { "service": "x", "address": "10.0.0.1:80", "zone": "z1", "version": "v2", "slots": 6,
+            "state": "draining", "sequence": 4, "born": 1700000000000 } })";
+
+constexpr auto roll_out_text = R"({
+  "metadata": { "name": "x", "revision": 21, "created": 20 },
+  "spec": { "service": "x", "target": "v2", "durationS": 16.5 },
+  "status": { "state": "running", "target": "v2" } })";
+
+auto value(const std::string& text) -> Json::Value
+{
+    return protocol::json::parse(text, state::error_kind::invalid_request);
+}
+
+auto caller_message() -> http::request
+{
+    auto message = http::request{http::beast::http::verb::post, "/a/x?y=1", 11};
+    message.set("Host", "h");
+    message.set("X-Attempt-Id", "a1");
+    message.set("X-Deadline-Ms", "15000");
+    message.set("X-Model", "*");
+    message.set("X-Token-Counts", "1460,80");
+    message.set("X-Prompt-Prefix", "5c1e:800,91bd:410,e440:250");
+    message.set("Authorization", "Bearer k1");
+    message.set("X-Tenant", "forged");
+    message.set("X-Hold", "forged");
+    message.set("X-Expect-Instance", "forged");
+    message.set("Connection", "keep-alive, X-Own");
+    message.set("X-Own", "1");
+    message.set("X-Other", "2");
+    message.body() = "question";
+    return message;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(codecs)
+
+BOOST_AUTO_TEST_CASE(reads_a_configuration)
+{
+    const auto table = platform::read_routing_table(value(configuration_text));
+    BOOST_TEST(table.generation_.value() == 12U);
+    BOOST_REQUIRE(table.routes_.size() == 2U);
+    const auto& stream = table.routes_.front();
+    BOOST_CHECK(stream.kind_ == state::request_kind::stream);
+    BOOST_CHECK(stream.time_limit_ == 15s);
+    BOOST_CHECK(stream.gap_objective_ == 800ms);
+    BOOST_TEST(stream.targets_.at(1).weight_ == 10);
+    BOOST_TEST(stream.is_repeatable());
+    BOOST_TEST(!table.routes_.back().is_repeatable());
+    BOOST_TEST(table.limits_.largest_body_ == 200U);
+    BOOST_TEST(table.keys_.at("k2").workspace_.text() == "t");
+    BOOST_TEST(table.keys_.at("k2").priority_.value() == 2);
+    BOOST_TEST(table.find_route("h", "/a/b/c")->name_ == "r2");
+    BOOST_TEST(table.find_route("h", "/a/c")->name_ == "r1");
+    BOOST_CHECK(table.find_route("h", "/c/") == nullptr);
+    BOOST_CHECK(table.find_route("other", "/a/") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(reads_an_endpoint)
+{
+    const auto endpoint = platform::read_endpoint(value(endpoint_text));
+    BOOST_TEST(endpoint.id_.text() == "e1");
+    BOOST_TEST(endpoint.address_.text() == "10.0.0.1:80");
+    BOOST_TEST(endpoint.is_draining_);
+    BOOST_TEST(endpoint.life_ == 1'700'000'000'000U);
+    BOOST_TEST(endpoint.registered_at_ == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(reads_a_roll_out_and_ignores_the_status_of_an_earlier_one)
+{
+    auto object = value(roll_out_text);
+    auto order = platform::read_roll_out(object);
+    BOOST_CHECK(order.time_allowed_ == 16'500ms);
+    BOOST_CHECK(order.state_ == state::staged_roll_out_state::running);
+    object["status"]["target"] = "v1";
+    BOOST_CHECK(platform::read_roll_out(object).state_ == state::staged_roll_out_state::ordered);
+    const auto status = platform::roll_out_status(order, state::staged_roll_out_state::rolled_back);
+    BOOST_TEST(status["state"].asString() == "rolled_back");
+    BOOST_TEST(status["target"].asString() == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(damaged_objects_give_an_error_and_nothing_else)
+{
+    auto random = coordination::time::seeded_random{17};
+    const auto replacements =
+        std::vector<Json::Value>{Json::Value{}, Json::Value{-1}, Json::Value{"text"}, Json::Value{1e300},
+                                 Json::Value{Json::arrayValue}, Json::Value{Json::objectValue}};
+    auto refused = 0;
+    for (auto round = 0; round < 3000; ++round) {
+        auto texts = std::vector<std::string>{configuration_text, endpoint_text, roll_out_text};
+        const auto which = random.below(texts.size());
+        auto object = value(texts.at(which));
+        auto* part = &object[random.chance(0.8) ? "spec" : "metadata"];
+        while (part->isObject() && !part->empty() && random.chance(0.8))
+            part = &(*part)[part->getMemberNames().at(random.below(part->size()))];
+        *part = replacements.at(random.below(replacements.size()));
+        try {
+            if (which == 0)
+                platform::read_routing_table(object);
+            else if (which == 1)
+                platform::read_endpoint(object);
+            else
+                platform::read_roll_out(object);
+        } catch (const state::error& fault) {
+            BOOST_TEST(!fault.remedy().empty());
+            ++refused;
+        }
+    }
+    BOOST_TEST(refused > 500);
+}
+
+BOOST_AUTO_TEST_CASE(reads_a_request)
+{
+    const auto request = platform::read_request(caller_message());
+    BOOST_TEST(request.id_.text() == "a1");
+    BOOST_TEST(request.host_ == "h");
+    BOOST_TEST(request.path_ == "/a/x");
+    BOOST_TEST(request.key_ == "k1");
+    BOOST_CHECK(request.time_allowed_ == 15s);
+    BOOST_TEST(request.leaves_model_open_);
+    BOOST_TEST(request.most_answer_tokens_.value() == 80);
+    BOOST_REQUIRE(request.prompt_.size() == 3U);
+    BOOST_TEST(request.prompt_.at(1).id_ == "91bd");
+    BOOST_TEST(request.prompt_.at(1).tokens_.value() == 410);
+    auto nameless = caller_message();
+    nameless.erase("X-Attempt-Id");
+    BOOST_CHECK_THROW(platform::read_request(nameless), state::error);
+}
+
+BOOST_AUTO_TEST_CASE(copies_of_a_request_have_one_fingerprint)
+{
+    auto again = caller_message();
+    again.set("X-Attempt-Id", "a2");
+    const auto first = platform::read_request(caller_message()).content_;
+    BOOST_CHECK(platform::read_request(again).content_ == first);
+    again.body() = "another";
+    BOOST_CHECK(platform::read_request(again).content_ != first);
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_gets_no_header_that_only_the_router_sets)
+{
+    const auto now = state::time_point{5s};
+    const auto order = coordination::forwarding::forward_order{.endpoint_ = state::endpoint_id{"e1"},
+                                                               .kind_ = state::request_kind::stream,
+                                                               .workspace_ = state::workspace_id{"t"},
+                                                               .model_ = state::model_name{"s"},
+                                                               .priority_ = 1,
+                                                               .deadline_ = now + 1500ms,
+                                                               .resume_after_ = "12"};
+    const auto sent = platform::endpoint_request(caller_message(), order, now);
+    const auto text = [&](std::string_view name) { return http::header_text(sent, name); };
+    BOOST_TEST(text("Authorization").empty());
+    BOOST_TEST(text("X-Hold").empty());
+    BOOST_TEST(text("X-Own").empty());
+    BOOST_TEST(text("X-Tenant") == "t");
+    BOOST_TEST(text("X-Expect-Instance") == "e1");
+    BOOST_TEST(text("X-Model") == "s");
+    BOOST_TEST(text("X-Deadline-Ms") == "1500");
+    BOOST_TEST(text("Last-Event-Id") == "12");
+    BOOST_TEST(text("X-Other") == "2");
+    BOOST_TEST(text("Host") == "h");
+    BOOST_TEST(sent.body() == "question");
+}
+
+BOOST_AUTO_TEST_CASE(only_what_has_not_run_is_refused_as_not_run)
+{
+    using coordination::routing::refusal;
+    using coordination::routing::run_state;
+    const auto status = [](state::error_kind kind, run_state run) {
+        const auto answer =
+            platform::refusal_answer(refusal{.kind_ = kind, .run_ = run, .retry_after_ = 400ms});
+        return std::pair{answer.result_int(), std::string{answer["Retry-After"]}};
+    };
+    using state::error_kind;
+    BOOST_CHECK((status(error_kind::no_capacity, run_state::not_run) == std::pair{503U, std::string{"0.400"}}));
+    BOOST_CHECK((status(error_kind::deadline_exceeded, run_state::not_run) == std::pair{503U, std::string{"0.400"}}));
+    BOOST_TEST(status(error_kind::no_capacity, run_state::unknown).first == 502U);
+    BOOST_TEST(status(error_kind::shutting_down, run_state::unknown).first == 502U);
+    BOOST_TEST(status(error_kind::deadline_exceeded, run_state::unknown).first == 504U);
+    BOOST_TEST(status(error_kind::unauthenticated, run_state::not_run).first == 401U);
+    BOOST_TEST(status(error_kind::not_found, run_state::not_run).first == 404U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace buckthorndale::tests
