--- a/libraries/coordination/admission/latency_window.cpp
+++ b/libraries/coordination/admission/latency_window.cpp
@@ -7,7 +7,9 @@
 namespace {
 
 /// A head that takes more than this part of its objective is a sign of queues at the endpoints.
-constexpr auto late_part = 0.8;
+constexpr auto late_part = 0.6;
+/// The window grows by this much each time a whole window of answers came in time.
+constexpr auto opened_per_window = 2.0;
 constexpr auto shrink_factor = 0.85;
 /// Answers that were under way together are one sign.
 constexpr auto shrink_interval = state::duration{std::chrono::milliseconds{400}};
@@ -27,7 +29,7 @@
     }
     // A window that is not used says nothing about a larger one.
     if (in_flight * 2 > size_)
-        size_ = std::min(size_ + 1.0, largest);
+        size_ = std::min(size_ + opened_per_window / size_, largest);
 }
 
 auto latency_window::shrink(state::time_point now) -> void
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -140,7 +140,8 @@
     std::ranges::sort(waiting, {}, order);
     for (auto* item : waiting) {
         const auto service = *item->waits_for_;
-        if (!windows_[service].admits(pool_.in_flight(service), item->priority_))
+        if (settings_.limits_by_lateness_ &&
+            !windows_[service].admits(pool_.in_flight(service), item->priority_))
             continue;
         item->waits_for_.reset();
         start(*item, service, "first");
--- a/libraries/coordination/forwarding/forward_settings.hpp
+++ b/libraries/coordination/forwarding/forward_settings.hpp
@@ -16,6 +16,8 @@
     state::duration session_lifetime_{std::chrono::seconds{5}};
     /// Requests that arrive later than this after the stop began are turned away.
     state::duration serving_after_stop_{std::chrono::seconds{3}};
+    /// Off only in the test that shows what the window is for.
+    bool limits_by_lateness_{true};
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -179,7 +179,7 @@
         auto fault = boost::system::error_code{};
         if (buffer_.size() == 0) {
             set_limit(shared_->settings_.idle_limit_);
-            shared_->idle_[this] = [this] { close(); };
+            shared_->idle_.insert_or_assign(this, [this] { close(); });
             const auto got = co_await stream_.async_read_some(buffer_.prepare(first_read_size),
                                                               asio::redirect_error(use_awaitable, fault));
             shared_->idle_.erase(this);
--- /dev/null
+++ b/tests/world/forward_world.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "coordination/forwarding/forward_engine.hpp"
+#include "coordination/time/seeded_random.hpp"
+#include "world/scheduler.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace buckthorndale::tests::world {
+
+/// How a run over the forward engine is made.
+struct forward_plan {
+    std::uint64_t seed_{1};
+    /// How long callers send requests.
+    state::duration length_{std::chrono::seconds{30}};
+    /// Requests a second.
+    double rate_{40};
+    std::size_t endpoints_{6};
+    /// Requests that an endpoint works on at once; the others wait in its queue.
+    std::int32_t slots_{8};
+    state::duration work_{std::chrono::milliseconds{60}};
+    /// Whether endpoints crash, fall silent, decline, break off, leave and are replaced.
+    bool has_faults_{true};
+    /// Whether a new version is rolled out that fails half of its requests.
+    bool has_bad_version_{false};
+    bool limits_by_lateness_{true};
+};
+
+/// What came out of a run.
+struct forward_result {
+    std::int64_t asked_{0};
+    std::int64_t in_time_{0};
+    std::int64_t late_{0};
+    std::int64_t refused_{0};
+    std::int64_t retries_{0};
+    /// Requests that ran on the bad version.
+    std::int64_t exposed_{0};
+    /// What callers, endpoints and the log saw that must not be.
+    std::vector<std::string> breaches_;
+};
+
+/// One forward engine in virtual time between fake callers and fake endpoints.
+class forward_world {
+public:
+    explicit forward_world(forward_plan plan);
+    ~forward_world();
+
+    forward_world(const forward_world&) = delete;
+    auto operator=(const forward_world&) -> forward_world& = delete;
+
+    auto run() -> forward_result;
+
+    // What the engine asks for.
+    auto dispatch(const coordination::forwarding::forward_order& order) -> void;
+    auto cancel(state::attempt_handle handle) -> void;
+    auto release(state::request_handle request, state::attempt_handle attempt) -> void;
+    auto finish(state::request_handle handle, state::attempt_handle attempt) -> void;
+    auto refuse(state::request_handle handle, const coordination::routing::refusal& why) -> void;
+    auto announce_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void;
+    auto log(const coordination::forwarding::forward_log& line) -> void;
+
+private:
+    enum class endpoint_mood : std::uint8_t { well, dark, silent, declining, breaking };
+
+    struct fake_endpoint_state {
+        state::listed_endpoint listed_;
+        endpoint_mood mood_{endpoint_mood::well};
+        /// Since when the engine knows that it leaves.
+        bool is_known_to_leave_{false};
+        std::int32_t busy_{0};
+        std::deque<state::attempt_handle> waiting_;
+    };
+
+    struct endpoint_attempt {
+        coordination::forwarding::forward_order order_;
+        bool is_cancelled_{false};
+        bool is_running_{false};
+    };
+
+    struct caller_request {
+        state::request_kind kind_{state::request_kind::safe};
+        state::time_point arrived_;
+        state::duration objective_{0};
+        state::time_point deadline_;
+        int runs_{0};
+        int sends_{0};
+        bool is_over_{false};
+        bool has_left_{false};
+    };
+
+    /// Defined where this class is complete, since the engine takes it as its port.
+    struct engine_holder;
+
+    auto make_table() const -> std::shared_ptr<state::routing_table>;
+    auto publish() -> void;
+    auto add_endpoint(const state::version_name& version) -> void;
+    auto schedule_caller() -> void;
+    auto schedule_fault() -> void;
+    auto schedule_tick() -> void;
+    auto ask() -> void;
+    auto strike() -> void;
+    auto begin_work(fake_endpoint_state& where, state::attempt_handle handle) -> void;
+    auto begin_waiting(fake_endpoint_state& where) -> void;
+    auto end_work(state::endpoint_id where, state::attempt_handle handle) -> void;
+    auto tell(state::attempt_handle handle, coordination::forwarding::forward_outcome outcome) -> void;
+    auto breach(const std::string& text) -> void { result_.breaches_.push_back(text); }
+
+    forward_plan plan_;
+    scheduler time_;
+    virtual_clock clock_{time_};
+    coordination::time::seeded_random random_;
+    std::unique_ptr<engine_holder> holder_;
+    std::map<state::endpoint_id, fake_endpoint_state> endpoints_;
+    std::map<state::attempt_handle, endpoint_attempt> attempts_;
+    std::map<state::request_handle, caller_request> requests_;
+    state::request_handle last_request_;
+    std::uint64_t last_endpoint_{0};
+    forward_result result_;
+};
+
+} // namespace buckthorndale::tests::world
