membership: Let three instances of a data centre watch the store for all

The other instances now ask the watchers of their data centre, which answer when there is news or after 1 s; an instance whose watchers are silent or cut off from the store goes to the store itself. While the store is away one kind of object asks for all.

--- a/libraries/coordination/forwarding/forward_ending.hpp
+++ b/libraries/coordination/forwarding/forward_ending.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace buckthorndale::coordination::forwarding {
 
@@ -30,6 +31,9 @@
     malformed,
 };
 
+/// The outcome as it stands in logs.
+auto to_string(forward_outcome outcome) -> std::string_view;
+
 struct forward_ending {
     state::attempt_handle attempt_;
     forward_outcome outcome_{forward_outcome::broken};
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -40,7 +40,10 @@
     owners_.emplace(last_attempt_, item.handle_);
     pool_.begin(endpoint);
     pins_.pin(item.request_.session_, known->service_, known->version_, now);
-    log(item, "dispatch", reason + ", version " + known->version_.text());
+    log(item, "dispatch",
+        reason + ", version " + known->version_.text() + ", window " +
+            std::to_string(static_cast<int>(windows_[known->service_].size())) + ", in flight " +
+            std::to_string(pool_.in_flight(known->service_)));
     port_.dispatch(forward_order{.request_ = item.handle_,
                                  .attempt_ = last_attempt_,
                                  .address_ = known->address_,
@@ -68,9 +71,9 @@
     const auto objective = item->route_.latency_objective_;
     windows_[attempt.service_].record_head(*attempt.head_time_, objective, pool_.in_flight(attempt.service_),
                                            now);
-    pool_.record_head(attempt.endpoint_,
-                      std::chrono::duration<double>(*attempt.head_time_) / std::chrono::duration<double>(objective),
-                      now);
+    pool_.record_head(
+        attempt.endpoint_,
+        std::chrono::duration<double>(*attempt.head_time_) / std::chrono::duration<double>(objective), now);
     // A larger model takes its time also while nobody waits.
     if (item->route_.models_.empty() || attempt.model_ != item->route_.models_.back())
         head_pace_.record(item->route_.name_, *attempt.head_time_, objective);
@@ -106,6 +109,8 @@
     auto* item = find(ending.attempt_);
     if (item == nullptr)
         return;
+    if (ending.outcome_ != forward_outcome::whole)
+        log(*item, "attempt_over", std::string{to_string(ending.outcome_)});
     const auto attempt = close_attempt(*item, ending);
     learn(*item, attempt, ending);
     record_evidence(*item, attempt, ending);
@@ -117,7 +122,7 @@
 auto forward_engine<Clock, Random, Port>::close_attempt(entry& item, const forward_ending& ending)
     -> running_attempt
 {
-    const auto attempt = *item.attempt_;
+    auto attempt = *item.attempt_;
     item.attempt_.reset();
     owners_.erase(attempt.handle_);
     pool_.end(attempt.endpoint_);
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -214,7 +214,7 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::abandon_attempt(entry& item) -> running_attempt
 {
-    const auto attempt = *item.attempt_;
+    auto attempt = *item.attempt_;
     port_.cancel(attempt.handle_);
     pool_.end(attempt.endpoint_);
     owners_.erase(attempt.handle_);
@@ -265,8 +265,14 @@
         if (item.waits_for_ && now - item.arrived_ > item.route_.latency_objective_ / longest_wait_part)
             hopeless.push_back(handle);
     }
-    for (const auto handle : hopeless)
-        refuse(entries_.at(handle), state::error_kind::no_capacity, "The endpoints are busy.");
+    for (const auto handle : hopeless) {
+        auto& item = entries_.at(handle);
+        const auto& service = *item.waits_for_;
+        refuse(item, state::error_kind::no_capacity,
+               "The endpoints are busy: window " +
+                   std::to_string(static_cast<int>(windows_[service].size())) + ", in flight " +
+                   std::to_string(pool_.in_flight(service)) + ".");
+    }
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
--- /dev/null
+++ b/libraries/coordination/membership/store_watchers.cpp
@@ -0,0 +1,62 @@
+#include "coordination/membership/store_watchers.hpp"
+
+#include "state/stable_hash.hpp"
+
+#include <algorithm>
+
+namespace buckthorndale::coordination::membership {
+
+auto store_watchers::update(const std::vector<listed_instance>& instances) -> void
+{
+    instances_ = {instances.begin(), instances.end()};
+    std::erase_if(instances_, [this](const auto& item) { return item.id_ == self_.id_; });
+    instances_.insert(self_);
+}
+
+auto store_watchers::watchers() const -> std::vector<listed_instance>
+{
+    auto near = std::vector<listed_instance>{};
+    for (const auto& item : instances_) {
+        if (item.data_centre_ == self_.data_centre_)
+            near.push_back(item);
+    }
+    std::ranges::sort(near, {}, [](const auto& item) { return state::stable_hash(item.id_.text()); });
+    if (near.size() > watchers_of_data_centre)
+        near.resize(watchers_of_data_centre);
+    return near;
+}
+
+auto store_watchers::is_watcher() const -> bool
+{
+    // Before the list is known, nobody else can be relied on.
+    if (instances_.empty())
+        return true;
+    return std::ranges::any_of(watchers(), [this](const auto& item) { return item.id_ == self_.id_; });
+}
+
+auto store_watchers::sources() const -> std::vector<state::network_address>
+{
+    auto near = watchers();
+    std::erase_if(near, [this](const auto& item) { return item.id_ == self_.id_; });
+    // Each instance begins with another watcher, so that they share the work.
+    if (!near.empty()) {
+        const auto first = state::stable_hash(self_.id_.text(), 1) % near.size();
+        std::ranges::rotate(near, near.begin() + static_cast<std::ptrdiff_t>(first));
+    }
+    auto addresses = std::vector<state::network_address>{};
+    for (const auto& item : near)
+        addresses.push_back(item.control_);
+    return addresses;
+}
+
+auto store_watchers::others() const -> std::vector<state::network_address>
+{
+    auto addresses = std::vector<state::network_address>{};
+    for (const auto& item : instances_) {
+        if (item.id_ != self_.id_)
+            addresses.push_back(item.control_);
+    }
+    return addresses;
+}
+
+} // namespace buckthorndale::coordination::membership
--- /dev/null
+++ b/libraries/coordination/membership/store_watchers.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "state/identifiers.hpp"
+#include "state/network_address.hpp"
+
+#include <set>
+#include <vector>
+
+/// Which instances do what the others rely on.
+namespace buckthorndale::coordination::membership {
+
+/// An instance as the platform's store lists it.
+struct listed_instance {
+    state::instance_id id_;
+    state::data_centre_id data_centre_;
+    /// Where other instances reach it.
+    state::network_address control_;
+
+    auto operator<=>(const listed_instance&) const = default;
+};
+
+/// Chooses who watches the store. Each watch is paid, and the store's rates grow more slowly than the fleet,
+/// so a few instances of each data centre watch and tell the others there. All choose alike from the same
+/// list.
+class store_watchers {
+public:
+    explicit store_watchers(listed_instance self) : self_{std::move(self)} {}
+
+    /// Takes over the list; the own instance is added when it is missing.
+    auto update(const std::vector<listed_instance>& instances) -> void;
+
+    /// Whether this instance watches the store itself.
+    auto is_watcher() const -> bool;
+
+    /// The watchers of the own data centre other than this instance, in the order in which to ask them.
+    auto sources() const -> std::vector<state::network_address>;
+
+    /// All other instances.
+    auto others() const -> std::vector<state::network_address>;
+
+private:
+    auto watchers() const -> std::vector<listed_instance>;
+
+    /// Two may be lost at once and one is left. Small deployments have no more instances than this in a data
+    /// centre, so all of them watch.
+    static constexpr std::size_t watchers_of_data_centre{3};
+
+    listed_instance self_;
+    std::set<listed_instance> instances_;
+};
+
+} // namespace buckthorndale::coordination::membership
--- a/meta/check_style.sh
+++ b/meta/check_style.sh
@@ -8,6 +8,14 @@
 git ls-files -- '*.cpp' '*.hpp' | xargs clang-format-16 --dry-run --Werror
 echo "The formatting is clean."
 
+# Only platform/ knows the names of the users' platform; tests of it do as well.
+if git grep -nE 'X-(Response-Stamp|Expect-Instance|Prompt-Prefix|Attempt-Id|Token-Counts|Tenant)|kvCapacityTokens|coldLeftMs|pathPrefix|trafficSplit|"rollouts"|"servers"' \
+    -- libraries services utilities; then
+    echo "These names belong into platform/."
+    exit 1
+fi
+echo "Names of the users' platform stand in platform/ only."
+
 [ -d "$build" ] || cmake -S . -B "$build" -G Ninja >/dev/null
 # The linter cannot read the one file that is C++14.
 git ls-files -- '*.cpp' | grep -v 'rpc/client_codec.cpp' |
--- a/services/front/control_duty.cpp
+++ b/services/front/control_duty.cpp
@@ -32,9 +32,27 @@
 /// Changes that come close together are fetched together.
 constexpr auto pause_after_changes = state::duration{std::chrono::milliseconds{100}};
 constexpr auto shortest_retry = state::duration{std::chrono::milliseconds{150}};
-constexpr auto retry_spread = std::uint64_t{200'000};
-/// How often the other instances are looked up.
+/// Each call is paid, those that are refused too; changes must be in force within two seconds of the store's
+/// return.
+constexpr auto longest_retry = state::duration{std::chrono::milliseconds{700}};
+constexpr auto retry_spread = std::uint64_t{150'000};
+/// How often a loop looks whether it is its turn.
+constexpr auto turn_step = state::duration{std::chrono::milliseconds{50}};
+/// How long an instance waits at a watcher for news. A watcher that is silent longer is given up.
+constexpr auto watcher_patience = state::duration{std::chrono::seconds{1}};
+constexpr auto watcher_slack = state::duration{std::chrono::milliseconds{600}};
+constexpr auto news_step = state::duration{std::chrono::milliseconds{25}};
+/// How long an instance without a watcher watches the store itself.
+constexpr auto own_watch_time = state::duration{std::chrono::seconds{10}};
+/// Pause between tries of a store that no watcher hears.
+constexpr auto store_try_interval = state::duration{std::chrono::milliseconds{1200}};
+/// How often the other instances are looked up; sooner at the start, while others register.
 constexpr auto instances_interval = state::duration{std::chrono::seconds{10}};
+constexpr auto first_instances_interval = state::duration{std::chrono::seconds{2}};
+/// All instances of a deployment start within 0.3 s of each other.
+constexpr auto registration_time = state::duration{std::chrono::milliseconds{500}};
+/// An instance that cannot read the list of instances by then goes on without it.
+constexpr auto longest_wait_for_instances = state::duration{std::chrono::milliseconds{1000}};
 /// A store that is away longer than this makes the instance ask others.
 constexpr auto outage_patience = state::duration{std::chrono::milliseconds{600}};
 constexpr auto ask_interval = state::duration{std::chrono::milliseconds{400}};
@@ -44,6 +62,24 @@
 
 constexpr auto json_type = "application/json";
 
+/// Whether the instance that answers hears the store.
+constexpr auto freshness_field = "is_fresh";
+
+auto instances_from(const platform::object_listing& listing)
+    -> std::vector<coordination::membership::listed_instance>
+{
+    auto instances = std::vector<coordination::membership::listed_instance>{};
+    for (const auto& object : listing.objects_) {
+        const auto& spec = object["spec"];
+        if (!spec["control"].isString() || !spec["data_centre"].isString())
+            continue;
+        instances.push_back({.id_ = state::instance_id{platform::read_metadata(object).name_},
+                             .data_centre_ = state::data_centre_id{spec["data_centre"].asString()},
+                             .control_ = state::network_address_from_text(spec["control"].asString())});
+    }
+    return instances;
+}
+
 } // namespace
 
 control_duty::control_duty(const front_settings& settings)
@@ -52,6 +88,8 @@
                       [this](http::exchange& exchange) { return serve_peer(exchange); }},
       peers_{duty_.context(), settings,
              [this](protocol::peer::peer_message message) { tell_decision(peer_heard{std::move(message)}); }},
+      watchers_{
+          {.id_ = settings.instance_, .data_centre_ = settings.data_centre_, .control_ = settings.control_}},
       configuration_{.mirror_ = object_mirror{std::string{platform::kind::configuration}},
                      .on_change_ = [this] { take_configuration(); }},
       endpoints_{.mirror_ = object_mirror{std::string{platform::kind::endpoints}},
@@ -78,6 +116,7 @@
         http::asio::co_spawn(duty_.context(), follow(*kind), http::asio::detached);
     }
     http::asio::co_spawn(duty_.context(), follow_instances(), http::asio::detached);
+    http::asio::co_spawn(duty_.context(), follow_watchers(), http::asio::detached);
     http::asio::co_spawn(duty_.context(), ask_peers_in_outage(), http::asio::detached);
     duty_.start();
 }
@@ -103,9 +142,28 @@
     co_await timer.async_wait(http::asio::use_awaitable);
 }
 
+auto control_duty::kinds() const -> std::vector<const followed_kind*>
+{
+    return {&configuration_, &endpoints_, &roll_outs_};
+}
+
+auto control_duty::is_fresh() const -> bool
+{
+    return std::ranges::none_of(kinds(), [](const followed_kind* kind) { return kind->is_lost_; });
+}
+
 auto control_duty::follow(followed_kind& kind) -> http::awaitable<void>
 {
+    const auto began = clock_.now();
+    auto retry = shortest_retry;
     while (true) {
+        const auto may_begin = are_instances_known_ || clock_.now() - began > longest_wait_for_instances;
+        // While the store is away, one kind asks for all.
+        const auto waits_for_other = &kind != &configuration_ && configuration_.is_lost_;
+        if (!may_begin || !watches_store() || waits_for_other) {
+            co_await sleep(turn_step);
+            continue;
+        }
         auto fault = std::optional<store_fault>{};
         try {
             co_await follow_until_fault(kind);
@@ -114,12 +172,69 @@
             if (fault != store_fault::history_gone)
                 mark_lost(kind, caught.what());
         }
-        if (fault != store_fault::history_gone)
-            co_await sleep(shortest_retry +
-                           state::duration{static_cast<std::int64_t>(random_.next() % retry_spread)});
+        if (!fault || fault == store_fault::history_gone)
+            continue;
+        // What went on for a while before it failed is tried again soon.
+        retry = clock_.now() - kind.lost_since_ < longest_retry ? shortest_retry
+                                                                : std::min(retry * 2, longest_retry);
+        co_await sleep(retry + state::duration{static_cast<std::int64_t>(random_.next() % retry_spread)});
+    }
+}
+
+auto control_duty::follow_watchers() -> http::awaitable<void>
+{
+    while (true) {
+        if (watches_store()) {
+            co_await sleep(turn_step);
+            continue;
+        }
+        for (const auto& watcher : watchers_.sources()) {
+            try {
+                co_await follow_watcher(watcher);
+            } catch (const http::client_error& fault) {
+                log_.info("watcher lost address=" + watcher.text() + " reason=\"" + fault.what() + "\"");
+            } catch (const store_error& fault) {
+                log_.warn("watcher not understood address=" + watcher.text() + " reason=\"" + fault.what() +
+                          "\"");
+            } catch (const state::error& fault) {
+                log_.warn("watcher not understood address=" + watcher.text() + " reason=\"" + fault.what() +
+                          "\"");
+            }
+        }
+        if (!watches_store())
+            co_await try_store();
+    }
+}
+
+auto control_duty::follow_watcher(const state::network_address& watcher) -> http::awaitable<void>
+{
+    while (!watches_store()) {
+        const auto vouches = co_await read_peer(watcher, watcher_patience);
+        if (!vouches)
+            co_return;
+        for (auto* kind : kinds())
+            mark_regained(*kind);
     }
 }
 
+auto control_duty::try_store() -> http::awaitable<void>
+{
+    auto is_there = false;
+    try {
+        co_await store_.list(platform::kind::instances, platform::listing_age::may_be_old);
+        is_there = true;
+    } catch (const store_error& fault) {
+        for (auto* kind : kinds())
+            mark_lost(*kind, fault.what());
+    }
+    if (is_there) {
+        log_.info("no watcher hears the store; this instance watches it itself for a while");
+        watches_until_ = clock_.now() + own_watch_time;
+        co_return;
+    }
+    co_await sleep(store_try_interval);
+}
+
 auto control_duty::follow_until_fault(followed_kind& kind) -> http::awaitable<void>
 {
     auto& mirror = kind.mirror_;
@@ -128,7 +243,7 @@
     if (!mirror.replace(listing))
         throw store_error{store_fault::unanswered, "the store's list is older than what is known"};
     kind.on_change_();
-    while (true) {
+    while (watches_store()) {
         const auto changes = co_await store_.watch(mirror.kind(), mirror.revision(), watch_patience);
         mirror.apply(changes);
         if (changes.changes_.empty())
@@ -235,6 +350,7 @@
 {
     auto spec = Json::Value{Json::objectValue};
     spec["control"] = settings_.control_.text();
+    spec["data_centre"] = settings_.data_centre_.text();
     auto is_known = false;
     try {
         co_await store_.create(platform::kind::instances, settings_.instance_.text(), spec);
@@ -244,13 +360,16 @@
         is_known = true;
     }
     // An instance that starts again under its name may have another address.
-    if (is_known)
+    if (!is_known)
+        co_await sleep(registration_time);
+    else
         co_await store_.replace(platform::kind::instances, settings_.instance_.text(), spec);
 }
 
 auto control_duty::follow_instances() -> http::awaitable<void>
 {
     auto is_registered = false;
+    auto is_first = true;
     while (true) {
         try {
             if (!is_registered)
@@ -258,19 +377,15 @@
             is_registered = true;
             const auto listing =
                 co_await store_.list(platform::kind::instances, platform::listing_age::may_be_old);
-            auto addresses = std::vector<state::network_address>{};
-            for (const auto& object : listing.objects_) {
-                const auto& control = object["spec"]["control"];
-                if (control.isString() && control.asString() != settings_.control_.text())
-                    addresses.push_back(state::network_address_from_text(control.asString()));
-            }
-            peers_.set_peers(addresses);
+            watchers_.update(instances_from(listing));
+            peers_.set_peers(watchers_.others());
+            are_instances_known_ = true;
         } catch (const store_error& fault) {
             log_.warn(std::string{"instances not read reason=\""} + fault.what() + "\"");
         } catch (const state::error& fault) {
             log_.warn(std::string{"instances not understood reason=\""} + fault.what() + "\"");
         }
-        co_await sleep(instances_interval);
+        co_await sleep(std::exchange(is_first, false) ? first_instances_interval : instances_interval);
     }
 }
 
@@ -286,7 +401,7 @@
         if (!peer)
             continue;
         try {
-            co_await read_peer(*peer);
+            co_await read_peer(*peer, {});
         } catch (const http::client_error& fault) {
             log_.info("instance not reached address=" + peer->text() + " reason=\"" + fault.what() + "\"");
         } catch (const store_error& fault) {
@@ -297,16 +412,16 @@
     }
 }
 
-auto control_duty::read_peer(const state::network_address& peer) -> http::awaitable<void>
+auto control_duty::read_peer(const state::network_address& peer, state::duration patience)
+    -> http::awaitable<bool>
 {
-    auto target = std::string{"/objects"};
-    auto separator = '?';
-    for (const auto* kind : kinds()) {
-        target += separator + kind->mirror_.kind() + "=" + std::to_string(kind->mirror_.revision());
-        separator = '&';
-    }
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(patience).count();
+    auto target = "/objects?wait_ms=" + std::to_string(wait);
+    for (const auto* kind : kinds())
+        target += "&" + kind->mirror_.kind() + "=" + std::to_string(kind->mirror_.revision());
     auto message = http::request{http::beast::http::verb::get, target, 11};
-    const auto answer = co_await client_.fetch(peer, std::move(message), {});
+    const auto answer =
+        co_await client_.fetch(peer, std::move(message), {.first_byte_ = patience + watcher_slack});
     const auto value = protocol::json::parse(answer.body(), state::error_kind::invalid_request);
     for (auto* kind : kinds()) {
         if (!value.isMember(kind->mirror_.kind()))
@@ -314,22 +429,35 @@
         const auto listing = listing_from(value[kind->mirror_.kind()]);
         if (listing.revision_ <= kind->mirror_.revision() || !kind->mirror_.replace(listing))
             continue;
-        log_.info("objects taken from instance address=" + peer.text() + " kind=" + kind->mirror_.kind() +
-                  " revision=" + std::to_string(listing.revision_));
+        log_.debug("objects taken from instance address=" + peer.text() + " kind=" + kind->mirror_.kind() +
+                   " revision=" + std::to_string(listing.revision_));
         kind->on_change_();
     }
+    co_return value[freshness_field].asBool();
 }
 
-auto control_duty::serve_peer(http::exchange& exchange) -> http::awaitable<void>
+auto control_duty::newer_than(const std::string& query) const -> Json::Value
 {
-    const auto target = http::split_target(exchange.message().target());
     auto value = Json::Value{Json::objectValue};
     for (const auto* kind : kinds()) {
         const auto& mirror = kind->mirror_;
-        const auto known = http::query_number(target.query_, mirror.kind(), 0);
-        if (mirror.revision() > known)
+        if (mirror.revision() > http::query_number(query, mirror.kind(), 0))
             value[mirror.kind()] = mirror.to_value();
     }
+    return value;
+}
+
+auto control_duty::serve_peer(http::exchange& exchange) -> http::awaitable<void>
+{
+    const auto query = http::split_target(exchange.message().target()).query_;
+    const auto wait = std::chrono::milliseconds{http::query_number(query, "wait_ms", 0)};
+    const auto until = clock_.now() + std::min<state::duration>(wait, watcher_patience);
+    auto value = newer_than(query);
+    while (value.empty() && is_fresh() && clock_.now() < until) {
+        co_await sleep(news_step);
+        value = newer_than(query);
+    }
+    value[freshness_field] = is_fresh();
     co_await exchange.send(http::make_response(200, json_type, protocol::json::to_text(value)));
 }
 
--- a/services/front/control_duty.hpp
+++ b/services/front/control_duty.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/forwarding/endpoint_directory.hpp"
+#include "coordination/membership/store_watchers.hpp"
 #include "front/events.hpp"
 #include "front/front_settings.hpp"
 #include "front/object_mirror.hpp"
@@ -49,6 +50,15 @@
     };
 
     auto follow(followed_kind& kind) -> transport::http::awaitable<void>;
+    /// Follows the watchers of the own data centre while this instance does not watch the store itself.
+    auto follow_watchers() -> transport::http::awaitable<void>;
+    /// Reads from one watcher until it fails or cannot vouch for what it says.
+    auto follow_watcher(const state::network_address& watcher) -> transport::http::awaitable<void>;
+    auto try_store() -> transport::http::awaitable<void>;
+
+    auto watches_store() const -> bool { return watchers_.is_watcher() || clock_.now() < watches_until_; }
+
+    auto is_fresh() const -> bool;
     auto follow_until_fault(followed_kind& kind) -> transport::http::awaitable<void>;
     auto mark_regained(followed_kind& kind) -> void;
     auto mark_lost(followed_kind& kind, const std::string& reason) -> void;
@@ -59,13 +69,18 @@
     auto register_instance() -> transport::http::awaitable<void>;
     auto follow_instances() -> transport::http::awaitable<void>;
     auto ask_peers_in_outage() -> transport::http::awaitable<void>;
-    auto read_peer(const state::network_address& peer) -> transport::http::awaitable<void>;
+    /// Takes over what an instance knows and this one does not, after waiting there for news. Returns whether
+    /// that instance hears the store now.
+    auto read_peer(const state::network_address& peer, state::duration patience)
+        -> transport::http::awaitable<bool>;
     auto serve_peer(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     auto take(control_action& action) -> void;
     auto record(forwarding::roll_out_step step) -> transport::http::awaitable<void>;
     auto sleep(state::duration time) -> transport::http::awaitable<void>;
     auto tell_decision(control_event event) -> void;
     auto kinds() -> std::vector<followed_kind*>;
+    auto kinds() const -> std::vector<const followed_kind*>;
+    auto newer_than(const std::string& query) const -> Json::Value;
 
     front_settings settings_;
     transport::logging::logger log_{"control"};
@@ -76,6 +91,10 @@
     platform::store_client store_;
     transport::http::server control_server_;
     peer_link peers_;
+    coordination::membership::store_watchers watchers_;
+    /// An instance that finds no watcher watches the store itself until then.
+    state::time_point watches_until_{};
+    bool are_instances_known_{false};
     followed_kind configuration_;
     followed_kind endpoints_;
     followed_kind roll_outs_;
--- a/services/front/peer_link.cpp
+++ b/services/front/peer_link.cpp
@@ -22,15 +22,20 @@
 /// The largest datagram over IPv4.
 constexpr auto largest_datagram = std::size_t{65'507};
 
+auto without(const std::vector<state::network_address>& seeds, const state::network_address& own)
+    -> std::set<state::network_address>
+{
+    auto others = std::set<state::network_address>{seeds.begin(), seeds.end()};
+    others.erase(own);
+    return others;
+}
+
 } // namespace
 
 peer_link::peer_link(asio::io_context& context, const front_settings& settings, message_callback on_message)
-    : own_{settings.control_}, port_{settings.peer_port_},
-      seeds_{settings.seeds_.begin(), settings.seeds_.end()}, on_message_{std::move(on_message)},
-      socket_{context}
+    : own_{settings.control_}, port_{settings.peer_port_}, seeds_{without(settings.seeds_, own_)},
+      peers_{seeds_}, on_message_{std::move(on_message)}, socket_{context}
 {
-    seeds_.erase(own_);
-    peers_ = seeds_;
     const auto address = asio::ip::make_address(own_.host_);
     try {
         socket_.open(asio::ip::udp::v4());
--- /dev/null
+++ b/tests/coordination/membership.cpp
@@ -0,0 +1,73 @@
+#include "coordination/membership/store_watchers.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+namespace buckthorndale::tests {
+
+namespace {
+
+using coordination::membership::listed_instance;
+using coordination::membership::store_watchers;
+
+auto instance(int number, const std::string& data_centre) -> listed_instance
+{
+    return {.id_ = state::instance_id{data_centre + std::to_string(number)},
+            .data_centre_ = state::data_centre_id{data_centre},
+            .control_ = {.host_ = "10.0.0.1", .port_ = static_cast<std::uint16_t>(number)}};
+}
+
+auto fleet(int size) -> std::vector<listed_instance>
+{
+    auto instances = std::vector<listed_instance>{};
+    for (auto number = 1; number <= size; ++number) {
+        instances.push_back(instance(number, "north"));
+        instances.push_back(instance(number, "south"));
+    }
+    return instances;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(membership)
+
+BOOST_AUTO_TEST_CASE(an_instance_that_knows_no_other_watches_itself)
+{
+    BOOST_TEST(store_watchers{instance(1, "north")}.is_watcher());
+}
+
+BOOST_AUTO_TEST_CASE(three_of_each_data_centre_watch_and_the_others_ask_them)
+{
+    for (const auto size : {1, 2, 3, 4, 20, 60}) {
+        auto watching = std::vector<state::network_address>{};
+        auto asked = std::vector<state::network_address>{};
+        for (auto number = 1; number <= size; ++number) {
+            auto watchers = store_watchers{instance(number, "north")};
+            watchers.update(fleet(size));
+            BOOST_TEST(watchers.others().size() == static_cast<std::size_t>(2 * size - 1));
+            if (watchers.is_watcher()) {
+                watching.push_back(instance(number, "north").control_);
+                continue;
+            }
+            BOOST_REQUIRE(watchers.sources().size() == 3U);
+            for (const auto& source : watchers.sources())
+                asked.push_back(source);
+        }
+        BOOST_TEST(watching.size() == static_cast<std::size_t>(std::min(size, 3)));
+        for (const auto& source : asked)
+            BOOST_TEST((std::ranges::find(watching, source) != watching.end()));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_missing_in_the_list_counts_itself)
+{
+    auto watchers = store_watchers{instance(1, "north")};
+    watchers.update({});
+    BOOST_TEST(watchers.is_watcher());
+    BOOST_TEST(watchers.others().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace buckthorndale::tests
