forwarding: Keep a request that goes on elsewhere on its version

Found by the test of long requests in a session: a retry after the pin had lapsed went to the new version.

--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -105,7 +105,10 @@
 {
     const auto now = clock_.now();
     const auto& request = item.request_;
-    const auto pinned = pins_.find(request.session_, service, now);
+    auto pinned = pins_.find(request.session_, service, now);
+    // A request that goes on elsewhere stays on its version, however long it has lasted.
+    if (item.last_service_ == service && !item.last_version_.is_empty())
+        pinned = item.last_version_;
     const auto key = request.session_.is_empty() ? request.id_.text() : request.session_.text();
     const auto draw = static_cast<double>(state::stable_hash(key) >> 11U) * 0x1.0p-53;
     const auto version = roll_outs_.choose(service, pool_.versions_of(service), pinned, draw, now);
--- /dev/null
+++ b/tests/coordination/forward_engine.cpp
@@ -0,0 +1,226 @@
+#include "coordination/forwarding/forward_engine.hpp"
+#include "coordination/time/seeded_random.hpp"
+#include "world/scheduler.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace buckthorndale::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+namespace forwarding = coordination::forwarding;
+using forwarding::forward_outcome;
+
+const auto service = state::service_name{"advice"};
+
+/// Writes down what the engine asks for.
+struct recording_port {
+    std::vector<forwarding::forward_order> orders_;
+    std::vector<state::attempt_handle> cancelled_;
+    std::vector<state::attempt_handle> released_;
+    std::vector<state::attempt_handle> finished_;
+    std::vector<coordination::routing::refusal> refusals_;
+
+    auto dispatch(const forwarding::forward_order& order) -> void { orders_.push_back(order); }
+
+    auto cancel(state::attempt_handle attempt) -> void { cancelled_.push_back(attempt); }
+
+    auto release(state::request_handle /*request*/, state::attempt_handle attempt) -> void
+    {
+        released_.push_back(attempt);
+    }
+
+    auto finish(state::request_handle /*request*/, state::attempt_handle attempt) -> void
+    {
+        finished_.push_back(attempt);
+    }
+
+    auto refuse(state::request_handle /*request*/, const coordination::routing::refusal& why) -> void
+    {
+        refusals_.push_back(why);
+    }
+
+    auto announce_crash(const state::endpoint_id& /*endpoint*/, state::content_fingerprint /*content*/) -> void {}
+
+    auto log(const forwarding::forward_log& /*line*/) -> void {}
+};
+
+/// An engine with one stream route over two models, and six endpoints, two of them of a new version.
+struct fixture {
+    fixture()
+    {
+        auto table = std::make_shared<state::routing_table>();
+        table->generation_ = state::generation{1};
+        table->routes_ = {{.name_ = "inquiry",
+                           .host_ = "h",
+                           .path_prefix_ = "/",
+                           .kind_ = state::request_kind::stream,
+                           .time_limit_ = 20s,
+                           .latency_objective_ = 2s,
+                           .most_attempts_ = 3,
+                           .is_resumable_ = true,
+                           .models_ = {state::model_name{"small"}, state::model_name{"large"}},
+                           .targets_ = {{.service_ = service}}}};
+        engine_.configure(table);
+        auto endpoints = std::vector<state::listed_endpoint>{};
+        for (auto number = 1; number <= 6; ++number)
+            endpoints.push_back({.id_ = state::endpoint_id{"e" + std::to_string(number)},
+                                 .service_ = service,
+                                 .version_ = state::version_name{number <= 4 ? "v1" : "v2"},
+                                 .slots_ = 8,
+                                 .registered_at_ = static_cast<std::uint64_t>(number)});
+        engine_.update_endpoints(endpoints);
+    }
+
+    auto ask(std::uint64_t handle, const std::string& session = "") -> void
+    {
+        engine_.arrive(state::request_handle{handle}, {.id_ = state::request_id{"r" + std::to_string(handle)},
+                                                       .host_ = "h",
+                                                       .path_ = "/x",
+                                                       .time_allowed_ = 15s,
+                                                       .leaves_model_open_ = true,
+                                                       .session_ = state::session_id{session}});
+    }
+
+    auto head(std::int32_t confidence) -> void
+    {
+        engine_.head_arrived({.attempt_ = port_.orders_.back().attempt_, .confidence_ = confidence});
+    }
+
+    auto end(forward_outcome outcome, const std::string& last_event = "") -> void
+    {
+        engine_.attempt_ended(
+            {.attempt_ = port_.orders_.back().attempt_, .outcome_ = outcome, .last_event_ = last_event});
+    }
+
+    auto wait(state::duration time) -> void { time_.run_until(time_.now() + time); }
+
+    world::scheduler time_;
+    world::virtual_clock clock_{time_};
+    coordination::time::seeded_random random_{5};
+    recording_port port_;
+    forwarding::forward_engine<world::virtual_clock, coordination::time::seeded_random, recording_port> engine_{
+        clock_, random_, port_, forwarding::forward_settings{}};
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(forward_engine, fixture)
+
+BOOST_AUTO_TEST_CASE(a_poor_answer_is_dropped_and_the_largest_model_asked)
+{
+    ask(1);
+    BOOST_TEST(port_.orders_.back().model_.text() == "small");
+    BOOST_TEST(port_.orders_.back().is_held_);
+    head(10);
+    BOOST_TEST(port_.cancelled_.size() == 1U);
+    BOOST_REQUIRE(port_.orders_.size() == 2U);
+    BOOST_TEST(port_.orders_.back().model_.text() == "large");
+    BOOST_TEST(!port_.orders_.back().is_held_);
+    head(90);
+    end(forward_outcome::whole, "9");
+    BOOST_TEST(port_.finished_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_good_answer_is_released_at_once)
+{
+    ask(1);
+    head(80);
+    BOOST_TEST(port_.released_.size() == 1U);
+    BOOST_TEST(port_.orders_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_stream_goes_on_after_the_last_event_on_the_same_model)
+{
+    ask(1);
+    head(80);
+    end(forward_outcome::broken, "4");
+    BOOST_REQUIRE(port_.orders_.size() == 2U);
+    BOOST_TEST(port_.orders_.back().resume_after_ == "4");
+    BOOST_TEST(port_.orders_.back().model_.text() == "small");
+    BOOST_TEST(!port_.orders_.back().is_held_);
+    BOOST_TEST(port_.orders_.back().endpoint_.text() != port_.orders_.front().endpoint_.text());
+}
+
+BOOST_AUTO_TEST_CASE(endpoints_that_are_not_reached_use_up_no_attempt)
+{
+    ask(1);
+    for (auto i = 0; i < 4; ++i)
+        end(forward_outcome::not_sent);
+    BOOST_TEST(port_.orders_.size() == 5U);
+    BOOST_TEST(port_.refusals_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_late_head_is_given_up_for_another_endpoint_while_others_are_in_time)
+{
+    ask(1);
+    wait(1100ms);
+    engine_.tick();
+    BOOST_TEST(port_.orders_.size() == 1U);
+    wait(200ms);
+    engine_.tick();
+    BOOST_TEST(port_.cancelled_.size() == 1U);
+    BOOST_TEST(port_.orders_.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_session_keeps_its_version_from_the_end_of_a_long_request)
+{
+    const auto order = std::vector<state::staged_roll_out>{
+        {.service_ = service, .target_ = state::version_name{"v2"}, .time_allowed_ = 60s}};
+    const auto is_new = [](const fixture& where) {
+        const auto& id = where.port_.orders_.back().endpoint_.text();
+        return id == "e5" || id == "e6";
+    };
+    // A session that goes to the new version unless something keeps it.
+    auto other = fixture{};
+    other.engine_.update_roll_outs(order);
+    auto number = std::uint64_t{0};
+    do {
+        ++number;
+        other.ask(number, "s" + std::to_string(number));
+        other.end(forward_outcome::whole, "9");
+    } while (!is_new(other));
+    const auto session = "s" + std::to_string(number);
+
+    ask(1, session);
+    BOOST_TEST(!is_new(*this));
+    engine_.update_roll_outs(order);
+    // The request lasts longer than a session lives without one.
+    wait(9s);
+    engine_.tick();
+    end(forward_outcome::whole, "9");
+    wait(4s);
+    engine_.tick();
+    ask(2, session);
+    BOOST_TEST(!is_new(*this));
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_may_have_missed_a_change_refuses_nothing_for_good)
+{
+    const auto ask_nowhere = [this](std::uint64_t handle) {
+        engine_.arrive(state::request_handle{handle}, {.id_ = state::request_id{"r"}, .host_ = "other", .path_ = "/"});
+        return port_.refusals_.back().kind_;
+    };
+    BOOST_CHECK(ask_nowhere(1) == state::error_kind::no_configuration);
+    engine_.set_fresh(true);
+    BOOST_CHECK(ask_nowhere(2) == state::error_kind::not_found);
+}
+
+BOOST_AUTO_TEST_CASE(work_of_a_caller_that_left_is_cancelled)
+{
+    ask(1);
+    engine_.caller_left(state::request_handle{1});
+    BOOST_TEST(port_.cancelled_.size() == 1U);
+    BOOST_TEST(engine_.size() == 0U);
+    end(forward_outcome::whole, "9");
+    BOOST_TEST(port_.finished_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace buckthorndale::tests
