roll_out: Do not let a router that has heard of few hide the others' evidence

Ruled out: lost datagrams, a late record (it was written within 1 s). Change: only watchers send totals, and the fullest one counts. The test fails without the second.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -76,9 +76,10 @@
     const auto sum = std::accumulate(usable.begin(), usable.end(), 0.0, [](double so_far, const view* known) {
         return so_far + known->own_in_flight_;
     });
-    const auto pressures = std::accumulate(
-        usable.begin(), usable.end(), 0.0,
-        [now](double so_far, const view* known) { return so_far + pressure_of(*known, now); });
+    const auto pressures =
+        std::accumulate(usable.begin(), usable.end(), 0.0, [now](double so_far, const view* known) {
+            return so_far + pressure_of(*known, now);
+        });
     const auto pressure_bound = pressures / static_cast<double>(usable.size()) + pressure_headroom;
     const auto affinity_bound = sum / static_cast<double>(usable.size()) + affinity_headroom;
     // An endpoint that was tried before, or rests, is better than none, in this order.
--- a/libraries/coordination/forwarding/service_roll_outs.cpp
+++ b/libraries/coordination/forwarding/service_roll_outs.cpp
@@ -36,6 +36,15 @@
 /// A router that is silent longer has stopped; whoever followed it reports elsewhere.
 constexpr auto report_lifetime = state::duration{std::chrono::seconds{5}};
 
+template <typename Counts>
+auto size_of(const Counts& counts) -> std::int64_t
+{
+    auto sum = std::int64_t{0};
+    for (const auto& [key, evidence] : counts)
+        sum += evidence.total();
+    return sum;
+}
+
 auto is_over(staged_roll_out_state state) -> bool
 {
     return state == staged_roll_out_state::completed || state == staged_roll_out_state::rolled_back;
@@ -168,39 +177,40 @@
     return draw < share ? version_choice{.only_ = target} : version_choice{.except_ = target};
 }
 
-auto service_roll_outs::newest_total(state::time_point now) const -> const heard_report*
+auto service_roll_outs::added_up(report_scope scope, state::time_point now) const -> counts_map
 {
-    const heard_report* newest = nullptr;
+    auto all = own_;
     for (const auto& [from, item] : heard_) {
-        if (item.scope_ != report_scope::all || now - item.at_ > report_lifetime)
+        const auto is_wanted = item.scope_ == report_scope::own ||
+                               (item.scope_ == report_scope::subtree && scope == report_scope::all);
+        if (scope == report_scope::own || !is_wanted || now - item.at_ > report_lifetime)
             continue;
-        if (newest == nullptr || item.at_ > newest->at_)
-            newest = &item;
+        for (const auto& count : item.report_.counts_)
+            all[count.key_] += count.counts_;
     }
-    return newest;
+    return all;
 }
 
 auto service_roll_outs::sums(report_scope scope, state::time_point now) const -> counts_map
 {
-    auto all = own_;
-    const auto add = [&all](const heard_report& item) {
-        for (const auto& count : item.report_.counts_)
-            all[count.key_] += count.counts_;
-    };
-    // A total that was heard contains the own answers of a moment ago.
-    const auto* total = scope == report_scope::all ? newest_total(now) : nullptr;
-    if (total != nullptr) {
-        all.clear();
-        add(*total);
-        return all;
-    }
+    auto best = added_up(scope, now);
+    if (scope != report_scope::all)
+        return best;
+    // Totals overlap, so they cannot be added; the one of the router that has heard of most is taken.
+    auto best_size = size_of(best);
     for (const auto& [from, item] : heard_) {
-        const auto is_wanted = item.scope_ == report_scope::own ||
-                               (item.scope_ == report_scope::subtree && scope == report_scope::all);
-        if (scope != report_scope::own && is_wanted && now - item.at_ <= report_lifetime)
-            add(item);
+        if (item.scope_ != report_scope::all || now - item.at_ > report_lifetime)
+            continue;
+        auto total = counts_map{};
+        for (const auto& count : item.report_.counts_)
+            total[count.key_] += count.counts_;
+        const auto size = size_of(total);
+        if (size <= best_size)
+            continue;
+        best = std::move(total);
+        best_size = size;
     }
-    return all;
+    return best;
 }
 
 auto service_roll_outs::is_worse(const progress& item, const counts_map& all) const -> bool
--- a/libraries/coordination/forwarding/service_roll_outs.hpp
+++ b/libraries/coordination/forwarding/service_roll_outs.hpp
@@ -112,7 +112,7 @@
 
     /// The newest report of one other router.
     struct heard_report {
-        report_scope scope_;
+        report_scope scope_{report_scope::own};
         roll_out_report report_;
         state::time_point at_;
     };
@@ -121,7 +121,8 @@
 
     static auto share_of(const progress& item, state::time_point now) -> double;
     auto sums(report_scope scope, state::time_point now) const -> counts_map;
-    auto newest_total(state::time_point now) const -> const heard_report*;
+    /// The own answers and those heard of, without totals of others.
+    auto added_up(report_scope scope, state::time_point now) const -> counts_map;
     auto is_worse(const progress& item, const counts_map& all) const -> bool;
 
     std::map<state::service_name, progress> services_;
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -101,8 +101,8 @@
     auto open(const state::network_address& peer, request message, const limits& bounds, bool is_new)
         -> awaitable<std::unique_ptr<response_stream>>;
 
-    /// Sends a request over a new connection, unless it is no longer wanted once that is open; the head of the
-    /// answer is still to be read. Throws client_error.
+    /// Sends a request over a new connection, unless it is no longer wanted once that is open; the head of
+    /// the answer is still to be read. Throws client_error.
     auto send(const state::network_address& peer, request message, const limits& bounds,
               const std::function<bool()>& is_wanted) -> awaitable<std::unique_ptr<response_stream>>;
 
--- a/libraries/transport/http/server.hpp
+++ b/libraries/transport/http/server.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "transport/http/exchange.hpp"
 #include "state/routing_table.hpp"
+#include "transport/http/exchange.hpp"
 #include "transport/http/server_settings.hpp"
 #include "transport/http/types.hpp"
 
@@ -11,9 +11,9 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <map>
 
 namespace buckthorndale::transport::http {
 
--- a/libraries/transport/logging/logger.cpp
+++ b/libraries/transport/logging/logger.cpp
@@ -14,7 +14,8 @@
 
 constexpr auto line_pattern = "%d{yyyy-MM-dd HH:mm:ss.SSS} %-5p %c: %m%n";
 
-/// Lines that may wait to be written. When the reader of the output stalls, later ones are counted and dropped.
+/// Lines that may wait to be written. When the reader of the output stalls, later ones are counted and
+/// dropped.
 constexpr auto most_waiting_lines = 4096;
 
 /// Writes on a thread of its own, so that a slow reader never holds up the program.
--- a/libraries/transport/process/signals.cpp
+++ b/libraries/transport/process/signals.cpp
@@ -28,8 +28,8 @@
 {
     const auto set = handled_signals();
     const auto seconds = std::chrono::floor<std::chrono::seconds>(limit);
-    const auto time = timespec{.tv_sec = seconds.count(),
-                               .tv_nsec = std::chrono::nanoseconds{limit - seconds}.count()};
+    const auto time =
+        timespec{.tv_sec = seconds.count(), .tv_nsec = std::chrono::nanoseconds{limit - seconds}.count()};
     const auto received = sigtimedwait(&set, nullptr, &time);
     if (received < 0)
         return std::nullopt;
--- a/services/front/control_duty.cpp
+++ b/services/front/control_duty.cpp
@@ -479,13 +479,14 @@
 
 auto control_duty::share(const share_evidence& evidence) -> void
 {
-    if (!watches_store()) {
-        if (current_watcher_)
-            peers_.tell({*current_watcher_}, evidence.own_);
+    if (watchers_.is_watcher()) {
+        peers_.tell(watchers_.other_watchers(), evidence.subtree_);
+        peers_.tell(watchers_.followers(), evidence.all_);
         return;
     }
-    peers_.tell(watchers_.other_watchers(), evidence.subtree_);
-    peers_.tell(watchers_.followers(), evidence.all_);
+    // An instance that watches the store for a while only has its own answers to tell, as a follower has.
+    if (current_watcher_)
+        peers_.tell({*current_watcher_}, evidence.own_);
 }
 
 auto control_duty::record(forwarding::roll_out_step step) -> http::awaitable<void>
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -45,7 +45,9 @@
         refusals_.push_back(why);
     }
 
-    auto announce_crash(const state::endpoint_id& /*endpoint*/, state::content_fingerprint /*content*/) -> void {}
+    auto announce_crash(const state::endpoint_id& /*endpoint*/, state::content_fingerprint /*content*/)
+        -> void
+    {}
 
     auto log(const forwarding::forward_log& /*line*/) -> void {}
 };
@@ -104,8 +106,8 @@
     world::virtual_clock clock_{time_};
     coordination::time::seeded_random random_{5};
     recording_port port_;
-    forwarding::forward_engine<world::virtual_clock, coordination::time::seeded_random, recording_port> engine_{
-        clock_, random_, port_, forwarding::forward_settings{}};
+    forwarding::forward_engine<world::virtual_clock, coordination::time::seeded_random, recording_port>
+        engine_{clock_, random_, port_, forwarding::forward_settings{}};
 };
 
 } // namespace
@@ -203,7 +205,8 @@
 BOOST_AUTO_TEST_CASE(an_instance_that_may_have_missed_a_change_refuses_nothing_for_good)
 {
     const auto ask_nowhere = [this](std::uint64_t handle) {
-        engine_.arrive(state::request_handle{handle}, {.id_ = state::request_id{"r"}, .host_ = "other", .path_ = "/"});
+        engine_.arrive(state::request_handle{handle},
+                       {.id_ = state::request_id{"r"}, .host_ = "other", .path_ = "/"});
         return port_.refusals_.back().kind_;
     };
     BOOST_CHECK(ask_nowhere(1) == state::error_kind::no_configuration);
--- a/tests/coordination/forwarded_runs.cpp
+++ b/tests/coordination/forwarded_runs.cpp
@@ -40,12 +40,8 @@
 /// Load pattern: three times the requests that the endpoints can serve, as after most of them were lost.
 BOOST_AUTO_TEST_CASE(under_three_times_the_load_the_endpoints_time_goes_to_answers_in_time)
 {
-    auto plan = forward_plan{.length_ = 40s,
-                             .rate_ = 400,
-                             .endpoints_ = 2,
-                             .slots_ = 4,
-                             .work_ = 60ms,
-                             .has_faults_ = false};
+    auto plan = forward_plan{
+        .length_ = 40s, .rate_ = 400, .endpoints_ = 2, .slots_ = 4, .work_ = 60ms, .has_faults_ = false};
     const auto capacity = 2 * 4 / 0.06 * 40;
     auto in_time = std::int64_t{0};
     auto without = std::int64_t{0};
@@ -55,7 +51,8 @@
         const auto kept = forward_world{plan}.run();
         check_kept(kept, seed);
         in_time += kept.in_time_;
-        BOOST_TEST_MESSAGE("asked " << kept.asked_ << " in time " << kept.in_time_ << " late " << kept.late_ << " refused " << kept.refused_ << " retries " << kept.retries_);
+        BOOST_TEST_MESSAGE("asked " << kept.asked_ << " in time " << kept.in_time_ << " late " << kept.late_
+                                    << " refused " << kept.refused_ << " retries " << kept.retries_);
         plan.limits_by_lateness_ = false;
         without += forward_world{plan}.run().in_time_;
     }
@@ -69,7 +66,8 @@
 {
     for (auto seed = std::uint64_t{1}; seed <= 40; ++seed) {
         const auto result =
-            forward_world{{.seed_ = seed, .length_ = 24s, .has_faults_ = false, .has_bad_version_ = true}}.run();
+            forward_world{{.seed_ = seed, .length_ = 24s, .has_faults_ = false, .has_bad_version_ = true}}
+                .run();
         check_kept(result, seed);
         // The users' bound: 0.15 of the requests and 30.
         BOOST_TEST(result.exposed_ <= result.asked_ * 15 / 100 + 30);
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -268,6 +268,12 @@
     BOOST_TEST(total(far, report_scope::all) == 3);
     BOOST_TEST(total(follower, report_scope::all) == 3);
     BOOST_TEST(total(follower, report_scope::own) == 1);
+    // A router that has heard of few does not hide what others know.
+    auto lone = forwarding::service_roll_outs{};
+    lone.update({order(state::staged_roll_out_state::running)}, at(0s));
+    follower.hear(state::instance_id{"lone"}, report_scope::all, lone.report(report_scope::all, life, at(2s)),
+                  at(2s));
+    BOOST_TEST(total(follower, report_scope::all) == 3);
 }
 
 BOOST_AUTO_TEST_CASE(answers_far_slower_than_usual_are_found)
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -117,9 +117,12 @@
 BOOST_AUTO_TEST_CASE(damaged_objects_give_an_error_and_nothing_else)
 {
     auto random = coordination::time::seeded_random{17};
-    const auto replacements =
-        std::vector<Json::Value>{Json::Value{}, Json::Value{-1}, Json::Value{"text"}, Json::Value{1e300},
-                                 Json::Value{Json::arrayValue}, Json::Value{Json::objectValue}};
+    const auto replacements = std::vector<Json::Value>{Json::Value{},
+                                                       Json::Value{-1},
+                                                       Json::Value{"text"},
+                                                       Json::Value{1e300},
+                                                       Json::Value{Json::arrayValue},
+                                                       Json::Value{Json::objectValue}};
     auto refused = 0;
     for (auto round = 0; round < 3000; ++round) {
         auto texts = std::vector<std::string>{configuration_text, endpoint_text, roll_out_text};
@@ -207,8 +210,10 @@
         return std::pair{answer.result_int(), std::string{answer["Retry-After"]}};
     };
     using state::error_kind;
-    BOOST_CHECK((status(error_kind::no_capacity, run_state::not_run) == std::pair{503U, std::string{"0.400"}}));
-    BOOST_CHECK((status(error_kind::deadline_exceeded, run_state::not_run) == std::pair{503U, std::string{"0.400"}}));
+    BOOST_CHECK(
+        (status(error_kind::no_capacity, run_state::not_run) == std::pair{503U, std::string{"0.400"}}));
+    BOOST_CHECK(
+        (status(error_kind::deadline_exceeded, run_state::not_run) == std::pair{503U, std::string{"0.400"}}));
     BOOST_TEST(status(error_kind::no_capacity, run_state::unknown).first == 502U);
     BOOST_TEST(status(error_kind::shutting_down, run_state::unknown).first == 502U);
     BOOST_TEST(status(error_kind::deadline_exceeded, run_state::unknown).first == 504U);
--- a/tests/world/forward_world.cpp
+++ b/tests/world/forward_world.cpp
@@ -51,8 +51,9 @@
 
 auto forward_world::run() -> forward_result
 {
-    holder_ = std::make_unique<engine_holder>(engine_holder{
-        {clock_, random_, *this, forwarding::forward_settings{.limits_by_lateness_ = plan_.limits_by_lateness_}}});
+    holder_ = std::make_unique<engine_holder>(
+        engine_holder{{clock_, random_, *this,
+                       forwarding::forward_settings{.limits_by_lateness_ = plan_.limits_by_lateness_}}});
     holder_->engine_.configure(make_table());
     holder_->engine_.set_fresh(true);
     for (auto i = std::size_t{0}; i < plan_.endpoints_; ++i)
@@ -60,7 +61,8 @@
     if (plan_.has_bad_version_) {
         for (auto i = std::size_t{0}; i < plan_.endpoints_; ++i)
             add_endpoint(bad_version);
-        holder_->engine_.update_roll_outs({{.service_ = service, .target_ = bad_version, .time_allowed_ = 24s}});
+        holder_->engine_.update_roll_outs(
+            {{.service_ = service, .target_ = bad_version, .time_allowed_ = 24s}});
     }
     publish();
     schedule_caller();
@@ -141,10 +143,10 @@
     item.deadline_ = time_.now() + time_limit;
     ++result_.asked_;
     auto asked = forwarding::forward_request{.id_ = state::request_id{std::to_string(handle.value())},
-                                               .host_ = "h",
-                                               .path_ = is_safe ? "/lookup/x" : "/issue/x",
-                                               .content_ = state::content_fingerprint{handle.value()},
-                                               .time_allowed_ = 3s};
+                                             .host_ = "h",
+                                             .path_ = is_safe ? "/lookup/x" : "/issue/x",
+                                             .content_ = state::content_fingerprint{handle.value()},
+                                             .time_allowed_ = 3s};
     holder_->engine_.arrive(handle, std::move(asked));
     if (plan_.has_faults_ && random_.chance(0.05)) {
         time_.after(state::duration{static_cast<std::int64_t>(random_.below(200'000))}, [this, handle] {
@@ -166,13 +168,15 @@
 
 auto forward_world::strike() -> void
 {
-    auto chosen = std::next(endpoints_.begin(), static_cast<std::ptrdiff_t>(random_.below(endpoints_.size())));
+    auto chosen =
+        std::next(endpoints_.begin(), static_cast<std::ptrdiff_t>(random_.below(endpoints_.size())));
     const auto id = chosen->first;
     if (random_.chance(0.2) && !chosen->second.listed_.is_draining_) {
         // It leaves, as the list says a little later; another one comes.
         chosen->second.listed_.is_draining_ = true;
         add_endpoint(chosen->second.listed_.version_);
-        time_.after(state::duration{static_cast<std::int64_t>(random_.below(500'000))}, [this] { publish(); });
+        time_.after(state::duration{static_cast<std::int64_t>(random_.below(500'000))},
+                    [this] { publish(); });
         return;
     }
     constexpr auto moods = std::array{endpoint_mood::dark, endpoint_mood::silent, endpoint_mood::declining,
@@ -297,8 +301,8 @@
         breach("a request was held past its deadline");
 }
 
-auto forward_world::announce_crash(const state::endpoint_id& /*endpoint*/, state::content_fingerprint /*content*/)
-    -> void
+auto forward_world::announce_crash(const state::endpoint_id& /*endpoint*/,
+                                   state::content_fingerprint /*content*/) -> void
 {}
 
 auto forward_world::log(const forwarding::forward_log& /*line*/) -> void {}
--- a/tests/world/forward_world.hpp
+++ b/tests/world/forward_world.hpp
@@ -110,6 +110,7 @@
     auto begin_waiting(fake_endpoint_state& where) -> void;
     auto end_work(state::endpoint_id where, state::attempt_handle handle) -> void;
     auto tell(state::attempt_handle handle, coordination::forwarding::forward_outcome outcome) -> void;
+
     auto breach(const std::string& text) -> void { result_.breaches_.push_back(text); }
 
     forward_plan plan_;
