--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -55,11 +55,13 @@
     auto update_endpoints(const std::vector<state::listed_endpoint>& endpoints) -> void
     {
         pool_.update(endpoints);
+        has_endpoints_ = true;
     }
 
     auto update_roll_outs(const std::vector<state::staged_roll_out>& orders) -> void
     {
         roll_outs_.update(orders, clock_.now());
+        has_roll_outs_ = true;
     }
 
     auto hear(const state::instance_id& from, report_scope scope, const roll_out_report& report) -> void
@@ -86,7 +88,11 @@
             stop_began_ = clock_.now();
     }
 
-    auto is_ready() const -> bool { return table_->generation_ > state::generation{} && !stop_began_; }
+    /// Whether all is known that a request needs.
+    auto is_ready() const -> bool
+    {
+        return table_->generation_ > state::generation{} && has_endpoints_ && has_roll_outs_ && !stop_began_;
+    }
 
     auto size() const -> std::size_t { return entries_.size(); }
 
@@ -165,6 +171,8 @@
     forward_settings settings_;
     std::shared_ptr<const state::routing_table> table_{std::make_shared<state::routing_table>()};
     bool is_fresh_{false};
+    bool has_endpoints_{false};
+    bool has_roll_outs_{false};
     endpoint_pool pool_;
     service_roll_outs roll_outs_;
     session_pins pins_;
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -214,6 +214,15 @@
     BOOST_CHECK(ask_nowhere(2) == state::error_kind::not_found);
 }
 
+BOOST_AUTO_TEST_CASE(an_instance_is_ready_once_it_knows_configuration_endpoints_and_roll_outs)
+{
+    BOOST_TEST(!engine_.is_ready());
+    engine_.update_roll_outs({});
+    BOOST_TEST(engine_.is_ready());
+    engine_.begin_stop();
+    BOOST_TEST(!engine_.is_ready());
+}
+
 BOOST_AUTO_TEST_CASE(work_of_a_caller_that_left_is_cancelled)
 {
     ask(1);
