--- /dev/null
+++ b/libraries/transport/ring/awaitable_queue.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <cstddef>
+#include <deque>
+#include <utility>
+
+namespace buckthorndale::transport::ring {
+
+/// A queue between coroutines of one thread: one waits for items, others may wait for room.
+template <typename Item>
+class awaitable_queue {
+public:
+    /// More items than `most_waiting` make wait_for_room() wait.
+    awaitable_queue(boost::asio::io_context& context, std::size_t most_waiting)
+        : most_waiting_{most_waiting}, filled_{context, boost::asio::steady_timer::time_point::max()},
+          emptied_{context, boost::asio::steady_timer::time_point::max()}
+    {}
+
+    auto push(Item item) -> void
+    {
+        if (is_closed_)
+            return;
+        items_.push_back(std::move(item));
+        filled_.cancel();
+    }
+
+    /// Waits for the next item.
+    auto next() -> boost::asio::awaitable<Item>
+    {
+        while (items_.empty())
+            co_await wait_on(filled_);
+        auto item = std::move(items_.front());
+        items_.pop_front();
+        emptied_.cancel();
+        co_return item;
+    }
+
+    /// Waits while more items are queued than a slow reader should hold up.
+    auto wait_for_room() -> boost::asio::awaitable<void>
+    {
+        while (items_.size() > most_waiting_ && !is_closed_)
+            co_await wait_on(emptied_);
+    }
+
+    /// Takes no more items, since nobody reads them.
+    auto close() -> void
+    {
+        is_closed_ = true;
+        items_.clear();
+        emptied_.cancel();
+    }
+
+private:
+    static auto wait_on(boost::asio::steady_timer& timer) -> boost::asio::awaitable<void>
+    {
+        auto ignored = boost::system::error_code{};
+        co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    }
+
+    std::size_t most_waiting_;
+    std::deque<Item> items_;
+    boost::asio::steady_timer filled_;
+    boost::asio::steady_timer emptied_;
+    bool is_closed_{false};
+};
+
+} // namespace buckthorndale::transport::ring
--- a/services/front/answer_queue.hpp
+++ b/services/front/answer_queue.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "transport/http/types.hpp"
+#include "transport/ring/awaitable_queue.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
-#include <deque>
+#include <cstddef>
 #include <string>
 #include <variant>
 
@@ -32,31 +31,9 @@
 using answer_item = std::variant<answer_begun, answer_portion, whole_answer, answer_ended, answer_cut>;
 
 /// What is to be sent to one caller, in order. The network thread fills and empties it.
-class answer_queue {
-public:
-    explicit answer_queue(transport::http::asio::io_context& context)
-        : filled_{context, transport::http::asio::steady_timer::time_point::max()},
-          emptied_{context, transport::http::asio::steady_timer::time_point::max()}
-    {}
-
-    auto push(answer_item item) -> void;
-
-    /// Waits for the next item.
-    auto next() -> transport::http::awaitable<answer_item>;
-
-    /// Waits while more items are queued than a slow caller should hold up.
-    auto wait_for_room() -> transport::http::awaitable<void>;
+using answer_queue = transport::ring::awaitable_queue<answer_item>;
 
-    /// Takes no more items, since nobody reads them.
-    auto close() -> void;
-
-private:
-    static constexpr std::size_t most_queued{256};
-
-    std::deque<answer_item> items_;
-    transport::http::asio::steady_timer filled_;
-    transport::http::asio::steady_timer emptied_;
-    bool is_closed_{false};
-};
+/// Items that a slow caller may hold up before its endpoint is read no further.
+inline constexpr auto most_queued_answers = std::size_t{256};
 
 } // namespace buckthorndale::services::front
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -36,7 +36,7 @@
 struct forwarded_call {
     forwarded_call(transport::http::asio::io_context& context, state::request_handle handle,
                    transport::http::request message)
-        : handle_{handle}, message_{std::move(message)}, output_{context}
+        : handle_{handle}, message_{std::move(message)}, output_{context, most_queued_answers}
     {}
 
     state::request_handle handle_;
--- a/services/router/caller_request.hpp
+++ b/services/router/caller_request.hpp
@@ -32,7 +32,7 @@
 /// A caller's request on the network side, from its arrival to its final answer.
 struct caller_request {
     caller_request(transport::http::asio::io_context& context, state::request_handle handle)
-        : handle_{handle}, output_{context}
+        : handle_{handle}, output_{context, most_queued_outputs}
     {}
 
     state::request_handle handle_;
