--- a/libraries/coordination/forwarding/forward_order.hpp
+++ b/libraries/coordination/forwarding/forward_order.hpp
@@ -31,7 +31,7 @@
     state::duration gap_limit_{0};
     /// The last event that the caller has; empty at the beginning of a stream.
     std::string resume_after_;
-    /// Whether the answer waits for request_engine's word after its head.
+    /// Whether the answer waits for the engine's word after its head.
     bool is_held_{false};
 };
 
--- a/services/front/main.cpp
+++ b/services/front/main.cpp
@@ -58,7 +58,8 @@
         const auto elapsed = clock.now() - began;
         if (elapsed >= balancer_delay)
             network.close_idle();
-        if (elapsed >= balancer_delay + settling_time && decision.requests_inside() == 0) {
+        const auto is_empty = decision.requests_inside() == 0 && network.open_calls() == 0;
+        if (elapsed >= balancer_delay + settling_time && is_empty) {
             log.info("stopped requests_cut=0");
             return;
         }
--- a/services/front/network_duty.cpp
+++ b/services/front/network_duty.cpp
@@ -99,6 +99,7 @@
     const auto call = std::make_shared<forwarded_call>(duty_.context(), handle, exchange.message());
     call->arrived_ = clock_.now();
     calls_.emplace(handle, call);
+    open_calls_.store(calls_.size());
     exchange.watch_caller([this, handle] { tell_decision(caller_gone{handle}); });
     tell_decision(request_arrived{handle, std::move(request)});
     auto has_failed = false;
@@ -108,6 +109,7 @@
         has_failed = true;
     }
     calls_.erase(handle);
+    open_calls_.store(calls_.size());
     if (has_failed) {
         call->output_.close();
         tell_decision(caller_gone{handle});
--- a/services/front/network_duty.hpp
+++ b/services/front/network_duty.hpp
@@ -9,6 +9,8 @@
 #include "transport/http/server.hpp"
 #include "transport/ring/bounded_ring.hpp"
 
+#include <atomic>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,6 +40,10 @@
     /// Closes connections that carry no request; any thread.
     auto close_idle() -> void;
 
+    /// Requests whose answers are not written to their end; any thread. The decision duty forgets a request
+    /// before its last bytes are out.
+    auto open_calls() const -> std::size_t { return open_calls_.load(); }
+
 private:
     auto serve_caller(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     auto serve_probe(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
@@ -67,6 +73,7 @@
     std::unordered_map<state::request_handle, std::shared_ptr<forwarded_call>> calls_;
     std::unordered_map<state::attempt_handle, std::shared_ptr<forward_attempt>> attempts_;
     state::request_handle last_handle_;
+    std::atomic<std::size_t> open_calls_{0};
 };
 
 } // namespace buckthorndale::services::front
