roll_out: Tell others that a version is halted, and complete nothing right after a start

A restarted one hears the age of the roll-out with the first report and may record 'completed' when the store is back, before it has heard enough answers. Change: reports say that a version was halted; a process completes nothing in its first 3 s.

--- a/libraries/coordination/forwarding/service_roll_outs.cpp
+++ b/libraries/coordination/forwarding/service_roll_outs.cpp
@@ -24,6 +24,8 @@
                                    stage{.from_ = 0.62, .share_ = 0.5}, stage{.from_ = 0.70, .share_ = 1.0}};
 constexpr auto half = 0.5;
 constexpr auto complete_from = 0.88;
+/// Reports come every second; a process that has just started waits for a few before it completes anything.
+constexpr auto time_to_hear = state::duration{std::chrono::seconds{3}};
 
 /// Fewer bad answers than this never halt a version.
 constexpr auto fewest_bad = 3;
@@ -57,11 +59,12 @@
 {
     auto kept = std::map<state::service_name, progress>{};
     for (const auto& order : orders) {
-        auto item = progress{.order_ = order, .began_ = now};
+        auto item = progress{.order_ = order, .began_ = now, .seen_at_ = now};
         const auto known = services_.find(order.service_);
         if (known != services_.end() && known->second.order_.created_ == order.created_ &&
             known->second.order_.target_ == order.target_) {
             item.began_ = known->second.began_;
+            item.seen_at_ = known->second.seen_at_;
             item.is_halted_ = known->second.is_halted_;
             // What is over stays over, also when an older copy of the record is read.
             if (is_over(known->second.order_.state_))
@@ -93,8 +96,10 @@
     heard_[from] = {.scope_ = scope, .report_ = report, .at_ = now};
     for (const auto& age : report.ages_) {
         const auto found = services_.find(age.service_);
-        if (found != services_.end() && found->second.order_.created_ == age.created_)
-            found->second.began_ = std::min(found->second.began_, now - age.age_);
+        if (found == services_.end() || found->second.order_.created_ != age.created_)
+            continue;
+        found->second.began_ = std::min(found->second.began_, now - age.age_);
+        found->second.is_halted_ = found->second.is_halted_ || age.is_halted_;
     }
 }
 
@@ -112,8 +117,10 @@
     for (const auto& [service, item] : services_) {
         if (is_over(item.order_.state_))
             continue;
-        word.ages_.push_back(
-            {.service_ = service, .created_ = item.order_.created_, .age_ = now - item.began_});
+        word.ages_.push_back({.service_ = service,
+                              .created_ = item.order_.created_,
+                              .age_ = now - item.began_,
+                              .is_halted_ = item.is_halted_});
         for (const auto& [key, counts] : counted) {
             if (key.service_ == service)
                 word.counts_.push_back({key, counts});
@@ -271,7 +278,7 @@
         auto state = staged_roll_out_state::running;
         if (item.is_halted_)
             state = staged_roll_out_state::rolled_back;
-        else if (share_of(item, now) >= 1.0 &&
+        else if (share_of(item, now) >= 1.0 && now - item.seen_at_ >= time_to_hear &&
                  now - item.began_ >=
                      state::duration{static_cast<state::duration::rep>(
                          static_cast<double>(item.order_.time_allowed_.count()) * complete_from)})
--- a/libraries/coordination/forwarding/service_roll_outs.hpp
+++ b/libraries/coordination/forwarding/service_roll_outs.hpp
@@ -41,11 +41,12 @@
     all,
 };
 
-/// How long a router has known an order.
+/// How long a router has known an order, and whether it has found the new version worse.
 struct roll_out_age {
     state::service_name service_;
     std::uint64_t created_{0};
     state::duration age_{0};
+    bool is_halted_{false};
 };
 
 /// What one router tells the others about roll-outs.
@@ -107,6 +108,8 @@
     struct progress {
         state::staged_roll_out order_;
         state::time_point began_;
+        /// Since when this process knows the order; a process that started later has heard little.
+        state::time_point seen_at_;
         bool is_halted_{false};
     };
 
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -81,6 +81,7 @@
         age["service"] = item.service_.text();
         age["created"] = std::to_string(item.created_);
         age["age_us"] = Json::Int64{item.age_.count()};
+        age["is_halted"] = item.is_halted_;
         value["ages"].append(age);
     }
     for (const auto& item : message.crashes_) {
@@ -105,7 +106,8 @@
         message.roll_outs_.ages_.push_back(
             {.service_ = state::service_name{item.text("service")},
              .created_ = item.number("created"),
-             .age_ = state::duration{item.integer("age_us", 0, largest_number)}});
+             .age_ = state::duration{item.integer("age_us", 0, largest_number)},
+             .is_halted_ = item.boolean_or("is_halted", false)});
     for (auto& item : reader.children("crashes"))
         message.crashes_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
                                     .content_ = state::content_fingerprint{item.number("content")}});
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -238,6 +238,23 @@
     BOOST_TEST(late.share(service, at(100s)) == 1.0);
 }
 
+BOOST_AUTO_TEST_CASE(an_instance_that_starts_late_does_not_complete_what_others_have_halted)
+{
+    using forwarding::report_scope;
+    auto late = forwarding::service_roll_outs{};
+    late.update({order(state::staged_roll_out_state::running)}, at(19s));
+    auto report = forwarding::roll_out_report{.life_ = state::incarnation{7}};
+    report.ages_ = {{.service_ = service, .created_ = 4, .age_ = 19s}};
+    late.hear(state::instance_id{"one"}, report_scope::subtree, report, at(19s));
+    // It knows the age, but has hardly heard what the answers were like.
+    BOOST_TEST(late.steps(at(19s)).empty());
+    report.ages_.front().is_halted_ = true;
+    late.hear(state::instance_id{"two"}, report_scope::subtree, report, at(20s));
+    BOOST_REQUIRE(late.steps(at(25s)).size() == 1U);
+    BOOST_CHECK(late.steps(at(25s)).front().state_ == state::staged_roll_out_state::rolled_back);
+    BOOST_TEST(late.share(service, at(25s)) == 0.0);
+}
+
 BOOST_AUTO_TEST_CASE(evidence_is_added_up_once_over_followers_and_watchers)
 {
     using forwarding::report_scope;
