--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -182,11 +182,14 @@
     auto other = fixture{};
     other.engine_.update_roll_outs(order);
     auto number = std::uint64_t{0};
-    do {
+    const auto ask_another = [&] {
         ++number;
         other.ask(number, "s" + std::to_string(number));
         other.end(forward_outcome::whole, "9");
-    } while (!is_new(other));
+    };
+    ask_another();
+    while (!is_new(other))
+        ask_another();
     const auto session = "s" + std::to_string(number);
 
     ask(1, session);
