forwarding: Share the endpoints' work, place and escalate by the expected time

Sums: unshared prompt tokens alone keep an engine busy for seconds; with 75 routers each sees 1 to 3 of an engine's requests, so its own counts say nothing. 1,081 of 8,619 arrivals were given up before their head (late at 0.6 of the objective), most of them long prompts that only needed their time, and were read anew elsewhere.

Each router forecasts the time to a head from the prompt's length (by route and model), adds up what it has sent and waits for at each endpoint, and tells the others four times a second, over the same tree as the evidence. A subject goes to the home (of four) where its answer costs least: what waits there, and eight times, then sixteen and so on, what has to be read again. The largest model is asked only where its answer would still begin in time. A late head is given up only beyond three times its forecast.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -19,8 +19,12 @@
 constexpr auto rest_when_unreachable = state::duration{std::chrono::milliseconds{700}};
 constexpr auto rest_when_full = state::duration{std::chrono::milliseconds{100}};
 
-/// An endpoint keeps its affinity until it holds this many more of the router's requests than the mean.
-constexpr auto affinity_headroom = 4.0;
+/// A subject may go to so many endpoints. Two choices already even out queues (Mitzenmacher, 2001); a hot
+/// subject needs more.
+constexpr auto homes_considered = std::size_t{4};
+/// What is read in a second place keeps that endpoint from its other requests as well: at a price of 1 to 2,
+/// more answers come late under full load than without any move (tests/coordination/placement_runs.cpp).
+constexpr auto price_of_reading_again = 8;
 /// An endpoint whose heads are later than the mean by this part of the objective is passed over.
 constexpr auto pressure_headroom = 0.4;
 /// Weight of a new head against those before.
@@ -68,38 +72,86 @@
 }
 
 auto endpoint_pool::choose(const pool_query& query, state::time_point now, std::uint64_t random) const
-    -> std::optional<state::endpoint_id>
+    -> std::optional<pool_choice>
 {
     const auto usable = candidates(query);
     if (usable.empty())
         return std::nullopt;
-    const auto sum = std::accumulate(usable.begin(), usable.end(), 0.0, [](double so_far, const view* known) {
-        return so_far + known->own_in_flight_;
-    });
-    const auto pressures =
+    if (!query.affinity_.empty())
+        return soonest_home(usable, query, now);
+    const auto* best = least_loaded(usable, query, now, random);
+    const auto queue = queue_of(*best, query);
+    return pool_choice{.endpoint_ = best->endpoint_.id_, .queue_ = queue, .expected_ = queue + query.work_};
+}
+
+auto endpoint_pool::queue_of(const view& known, const pool_query& query) -> state::duration
+{
+    const auto pending = known.own_pending_ + known.others_pending_;
+    // Prompts are read one after the other; other requests run side by side.
+    return query.affinity_.empty() ? pending / std::max(known.endpoint_.slots_, 1) : pending;
+}
+
+auto endpoint_pool::pressure_bound(const std::vector<const view*>& usable, state::time_point now) -> double
+{
+    const auto sum =
         std::accumulate(usable.begin(), usable.end(), 0.0, [now](double so_far, const view* known) {
             return so_far + pressure_of(*known, now);
         });
-    const auto pressure_bound = pressures / static_cast<double>(usable.size()) + pressure_headroom;
-    const auto affinity_bound = sum / static_cast<double>(usable.size()) + affinity_headroom;
+    return sum / static_cast<double>(usable.size()) + pressure_headroom;
+}
+
+auto endpoint_pool::least_loaded(const std::vector<const view*>& usable, const pool_query& query,
+                                 state::time_point now, std::uint64_t random) -> const view*
+{
+    const auto bound = pressure_bound(usable, now);
     // An endpoint that was tried before, or rests, is better than none, in this order.
     const auto rank = [&](const view* known) {
         const auto& id = known->endpoint_.id_;
         const auto was_tried = query.excluded_.contains(id);
         const auto rests = known->rests_until_ > now;
-        if (query.affinity_.empty()) {
-            const auto is_far = known->endpoint_.data_centre_ != query.data_centre_;
-            const auto is_slow = pressure_of(*known, now) > pressure_bound;
-            const auto load = known->own_in_flight_ + (is_far ? 1 : 0) + (is_slow ? 1 : 0);
-            return std::tuple{was_tried, rests, false, load, state::stable_hash(id.text(), random)};
-        }
-        const auto is_over =
-            known->own_in_flight_ > affinity_bound || pressure_of(*known, now) > pressure_bound;
-        const auto home = state::stable_hash(id.text(), state::stable_hash(query.affinity_));
-        return std::tuple{was_tried, rests, is_over, 0, home};
+        const auto is_far = known->endpoint_.data_centre_ != query.data_centre_;
+        const auto is_slow = pressure_of(*known, now) > bound;
+        const auto load = known->own_in_flight_ + (is_far ? 1 : 0) + (is_slow ? 1 : 0);
+        return std::tuple{was_tried, rests, load, state::stable_hash(id.text(), random)};
     };
-    const auto by_rank = [&](const view* left, const view* right) { return rank(left) < rank(right); };
-    return (*std::ranges::min_element(usable, by_rank))->endpoint_.id_;
+    return *std::ranges::min_element(usable, {}, rank);
+}
+
+auto endpoint_pool::soonest_home(const std::vector<const view*>& usable, const pool_query& query,
+                                 state::time_point now) -> pool_choice
+{
+    const auto bound = pressure_bound(usable, now);
+    const auto affinity = state::stable_hash(query.affinity_);
+    const auto fitness = [&](const view* known) {
+        const auto& id = known->endpoint_.id_;
+        return std::tuple{query.excluded_.contains(id), known->rests_until_ > now,
+                          pressure_of(*known, now) > bound};
+    };
+    const auto rank = [&](const view* known) {
+        return std::pair{fitness(known), state::stable_hash(known->endpoint_.id_.text(), affinity)};
+    };
+    auto homes = usable;
+    const auto considered = std::min(homes.size(), homes_considered);
+    std::ranges::partial_sort(homes, homes.begin() + static_cast<std::ptrdiff_t>(considered), {}, rank);
+    auto best = pool_choice{};
+    auto least_cost = state::duration::max();
+    for (auto place = std::size_t{0}; place < considered; ++place) {
+        const auto* known = homes[place];
+        if (fitness(known) != fitness(homes.front()))
+            break;
+        const auto queue = queue_of(*known, query);
+        const auto read_again = place == 0 ? state::duration::zero() : query.shared_work_;
+        // Each place further is a place more where the same is read and kept.
+        const auto price = price_of_reading_again * (1 << place) / 2;
+        const auto cost = queue + read_again * price;
+        if (cost >= least_cost)
+            continue;
+        least_cost = cost;
+        best = {.endpoint_ = known->endpoint_.id_,
+                .queue_ = queue,
+                .expected_ = queue + query.work_ + read_again};
+    }
+    return best;
 }
 
 auto endpoint_pool::find(const state::endpoint_id& id) const -> const state::listed_endpoint*
@@ -124,9 +176,40 @@
     return versions;
 }
 
-auto endpoint_pool::begin(const state::endpoint_id& id) -> void
+auto endpoint_pool::begin(const state::endpoint_id& id, state::duration work) -> void
+{
+    auto& known = views_.at(id);
+    ++known.own_in_flight_;
+    known.own_pending_ += work;
+}
+
+auto endpoint_pool::settle(const state::endpoint_id& id, state::duration work) -> void
+{
+    auto* known = find_view(id);
+    verify(known != nullptr, state::promise::internal_consistency, "an endpoint in use must be kept");
+    known->own_pending_ -= work;
+    verify(known->own_pending_ >= state::duration::zero(), state::promise::internal_consistency,
+           "work that waits must not be negative");
+}
+
+auto endpoint_pool::own_work() const -> std::vector<endpoint_work>
+{
+    auto work = std::vector<endpoint_work>{};
+    for (const auto& [id, known] : views_) {
+        if (known.own_pending_ > state::duration::zero())
+            work.push_back({.endpoint_ = id, .pending_ = known.own_pending_});
+    }
+    return work;
+}
+
+auto endpoint_pool::set_others(const std::vector<endpoint_work>& work) -> void
 {
-    ++views_.at(id).own_in_flight_;
+    for (auto& [id, known] : views_)
+        known.others_pending_ = state::duration::zero();
+    for (const auto& item : work) {
+        if (auto* known = find_view(item.endpoint_))
+            known->others_pending_ = item.pending_;
+    }
 }
 
 auto endpoint_pool::end(const state::endpoint_id& id) -> void
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/version_choice.hpp"
 #include "state/identifiers.hpp"
 #include "state/listed_endpoint.hpp"
@@ -23,6 +24,20 @@
     /// The router's own data centre.
     state::data_centre_id data_centre_;
     std::set<state::endpoint_id> excluded_;
+    /// The time that an endpoint needs to the head of the answer while nothing waits there.
+    state::duration work_{0};
+    /// The part of it that goes to what requests with the same affinity share; an endpoint that has read it
+    /// before is spared that.
+    state::duration shared_work_{0};
+};
+
+/// Where a request should go.
+struct pool_choice {
+    state::endpoint_id endpoint_;
+    /// The work that routers have sent there before and that waits.
+    state::duration queue_{0};
+    /// The time to the head of the answer, as far as can be told.
+    state::duration expected_{0};
 };
 
 /// The endpoints as one router knows them: listed, resting after failures, and with its own requests in
@@ -34,16 +49,24 @@
 
     /// The endpoint to use; none when no endpoint of the service may take new work.
     auto choose(const pool_query& query, state::time_point now, std::uint64_t random) const
-        -> std::optional<state::endpoint_id>;
+        -> std::optional<pool_choice>;
 
     auto find(const state::endpoint_id& id) const -> const state::listed_endpoint*;
 
     /// The versions of the endpoints that may take new work, the longest registered first.
     auto versions_of(const state::service_name& service) const -> std::vector<state::version_name>;
 
-    auto begin(const state::endpoint_id& id) -> void;
+    /// Notes a request that goes to the endpoint, and the time that it needs there to the head of its answer.
+    auto begin(const state::endpoint_id& id, state::duration work) -> void;
+    /// Notes that the head has come, or that nothing waits for it any more.
+    auto settle(const state::endpoint_id& id, state::duration work) -> void;
     auto end(const state::endpoint_id& id) -> void;
 
+    /// What this router has sent to each endpoint and waits for.
+    auto own_work() const -> std::vector<endpoint_work>;
+    /// Takes over what the other routers have sent to the endpoints.
+    auto set_others(const std::vector<endpoint_work>& work) -> void;
+
     /// Notes how long the head of an answer took, as a part of its latency objective.
     auto record_head(const state::endpoint_id& id, double part, state::time_point now) -> void;
 
@@ -75,6 +98,8 @@
         bool is_listed_{true};
         bool has_said_leaving_{false};
         std::int32_t own_in_flight_{0};
+        state::duration own_pending_{0};
+        state::duration others_pending_{0};
         std::int32_t failures_in_a_row_{0};
         state::time_point rests_until_{};
         /// How late heads of its answers were when it was last heard of; 0 at once, 1 the whole objective.
@@ -83,6 +108,16 @@
     };
 
     static auto pressure_of(const view& known, state::time_point now) -> double;
+    /// The time until the endpoint gets to a new request.
+    static auto queue_of(const view& known, const pool_query& query) -> state::duration;
+    /// The endpoint with the least load, for requests that share nothing.
+    static auto least_loaded(const std::vector<const view*>& usable, const pool_query& query,
+                             state::time_point now, std::uint64_t random) -> const view*;
+    /// The home of what the request shares, or another one where its answer would begin sooner.
+    static auto soonest_home(const std::vector<const view*>& usable, const pool_query& query,
+                             state::time_point now) -> pool_choice;
+    /// Above this lateness of its heads an endpoint is passed over.
+    static auto pressure_bound(const std::vector<const view*>& usable, state::time_point now) -> double;
 
     auto candidates(const pool_query& query) const -> std::vector<const view*>;
     auto drop_unused() -> void;
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -9,8 +9,10 @@
 #include "coordination/forwarding/forward_settings.hpp"
 #include "coordination/forwarding/head_pace.hpp"
 #include "coordination/forwarding/model_choice.hpp"
+#include "coordination/forwarding/read_forecast.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
+#include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/retry/retry_budget.hpp"
 #include "coordination/suspicion/crash_suspects.hpp"
 #include "coordination/time/clock_source.hpp"
@@ -69,6 +71,22 @@
         roll_outs_.hear(from, scope, report, clock_.now());
     }
 
+    /// Takes over what another router says of the work that endpoints have.
+    auto hear_work(const state::instance_id& from, report_scope scope, const std::vector<endpoint_work>& work)
+        -> void
+    {
+        work_.hear(from, scope, work, clock_.now());
+    }
+
+    /// Counts what the other routers said of the endpoints' work, and returns what to tell them; to be called
+    /// four times a second.
+    auto share_work() -> work_report
+    {
+        const auto now = clock_.now();
+        pool_.set_others(work_.others(now));
+        return work_.report(pool_.own_work(), now);
+    }
+
     /// Takes over another router's word that content was in flight when an endpoint crashed.
     auto learn_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void
     {
@@ -108,6 +126,10 @@
         state::time_point started_;
         std::optional<state::duration> head_time_;
         bool is_held_{false};
+        /// The time that the endpoint needs to the head of the answer, by forecast; zero once it has come.
+        state::duration work_{0};
+        /// What waited at the endpoint before it.
+        state::duration queue_{0};
     };
 
     struct entry {
@@ -149,9 +171,15 @@
     auto abandon_attempt(entry& item) -> running_attempt;
     auto start(entry& item, const state::service_name& service, const std::string& reason) -> void;
     auto start_again(entry& item, const std::string& reason) -> void;
-    auto query_for(entry& item, const state::service_name& service) -> pool_query;
+    auto query_for(const entry& item, const state::service_name& service, const state::model_name& model)
+        -> pool_query;
+    /// When the largest model would answer, counted from now.
+    auto expected_of_largest(const entry& item) -> state::duration;
+    /// Takes the attempt's work off its endpoint.
+    auto settle(running_attempt& attempt) -> void;
+    auto release_attempt(entry& item) -> running_attempt;
     auto pick_service(const entry& item) -> state::service_name;
-    auto dispatch(entry& item, const state::endpoint_id& endpoint, const std::string& reason) -> void;
+    auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
     auto close_attempt(entry& item, const forward_ending& ending) -> running_attempt;
     auto learn(const entry& item, const running_attempt& attempt, const forward_ending& ending) -> void;
     auto record_evidence(const entry& item, const running_attempt& attempt, const forward_ending& ending)
@@ -178,6 +206,8 @@
     session_pins pins_;
     answer_pace pace_;
     head_pace head_pace_;
+    read_forecast forecast_;
+    work_exchange work_;
     std::map<state::service_name, admission::latency_window> windows_;
     suspicion::crash_suspects suspects_;
     std::map<state::service_name, retry::retry_budget> budgets_;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -12,10 +12,11 @@
 namespace buckthorndale::coordination::forwarding {
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::dispatch(entry& item, const state::endpoint_id& endpoint,
+auto forward_engine<Clock, Random, Port>::dispatch(entry& item, const pool_choice& choice,
                                                    const std::string& reason) -> void
 {
     const auto now = clock_.now();
+    const auto& endpoint = choice.endpoint_;
     const auto* known = pool_.find(endpoint);
     verify(known != nullptr, state::promise::internal_consistency, "a chosen endpoint must be known");
     verify(item.route_.is_repeatable() || !item.may_have_run_, state::promise::at_most_once,
@@ -36,16 +37,20 @@
                                     .version_ = known->version_,
                                     .model_ = item.model_,
                                     .started_ = now,
-                                    .is_held_ = is_held};
+                                    .is_held_ = is_held,
+                                    .work_ = choice.expected_ - choice.queue_,
+                                    .queue_ = choice.queue_};
     owners_.emplace(last_attempt_, item.handle_);
-    pool_.begin(endpoint);
+    pool_.begin(endpoint, item.attempt_->work_);
     item.last_service_ = known->service_;
     item.last_version_ = known->version_;
     keep_session(item);
     log(item, "dispatch",
         reason + ", version " + known->version_.text() + ", window " +
             std::to_string(static_cast<int>(windows_[known->service_].size())) + ", in flight " +
-            std::to_string(pool_.in_flight(known->service_)));
+            std::to_string(pool_.in_flight(known->service_)) + ", queue " +
+            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(choice.queue_).count()) +
+            " ms");
     port_.dispatch(forward_order{.request_ = item.handle_,
                                  .attempt_ = last_attempt_,
                                  .address_ = known->address_,
@@ -70,6 +75,11 @@
     const auto now = clock_.now();
     auto& attempt = *item->attempt_;
     attempt.head_time_ = now - attempt.started_;
+    settle(attempt);
+    // What waited there before is not this request's time, as far as is known.
+    constexpr auto least_own_part = 4;
+    forecast_.record(item->route_.name_, attempt.model_, length_of(item->request_),
+                     std::max(*attempt.head_time_ - attempt.queue_, *attempt.head_time_ / least_own_part));
     const auto objective = item->route_.latency_objective_;
     windows_[attempt.service_].record_head(*attempt.head_time_, objective, pool_.in_flight(attempt.service_),
                                            now);
@@ -86,7 +96,7 @@
                                       .attempts_left_ = item->route_.most_attempts_ - item->attempts_,
                                       .since_arrival_ = now - item->arrived_,
                                       .time_left_ = item->deadline_ - now,
-                                      .pressure_ = head_pace_.pressure(item->route_.name_)});
+                                      .expected_ = expected_of_largest(*item)});
     if (!better) {
         attempt.is_held_ = false;
         item->is_model_settled_ = true;
@@ -98,13 +108,20 @@
     // How the dropped answer would have ended is not known, so it is no evidence.
     item->may_have_run_ = true;
     pool_.mark_succeeded(attempt.endpoint_);
-    owners_.erase(attempt.handle_);
-    pool_.end(attempt.endpoint_);
-    item->attempt_.reset();
+    release_attempt(*item);
     item->model_ = *better;
     start_again(*item, "escalate at confidence " + std::to_string(head.confidence_.value_or(0)));
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::expected_of_largest(const entry& item) -> state::duration
+{
+    const auto& largest = item.route_.models_.back();
+    const auto choice =
+        pool_.choose(query_for(item, item.last_service_, largest), clock_.now(), random_.next());
+    return choice ? choice->expected_ : state::duration::max();
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::attempt_ended(const forward_ending& ending) -> void
 {
@@ -124,10 +141,7 @@
 auto forward_engine<Clock, Random, Port>::close_attempt(entry& item, const forward_ending& ending)
     -> running_attempt
 {
-    auto attempt = *item.attempt_;
-    item.attempt_.reset();
-    owners_.erase(attempt.handle_);
-    pool_.end(attempt.endpoint_);
+    auto attempt = release_attempt(item);
     const auto has_not_run = ending.outcome_ == forward_outcome::declined ||
                              ending.outcome_ == forward_outcome::wrong_endpoint ||
                              ending.outcome_ == forward_outcome::not_sent;
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -100,8 +100,8 @@
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::query_for(entry& item, const state::service_name& service)
-    -> pool_query
+auto forward_engine<Clock, Random, Port>::query_for(const entry& item, const state::service_name& service,
+                                                    const state::model_name& model) -> pool_query
 {
     const auto now = clock_.now();
     const auto& request = item.request_;
@@ -118,11 +118,16 @@
         affinity = request.prompt_[request.prompt_.size() - 2].id_;
     else if (!request.prompt_.empty())
         affinity = request.prompt_.front().id_;
+    const auto length = length_of(request);
+    const auto own_part = request.prompt_.empty() ? length : request.prompt_.back().tokens_.value();
     return {.service_ = service,
             .version_ = version,
             .affinity_ = std::move(affinity),
             .data_centre_ = settings_.data_centre_,
-            .excluded_ = item.excluded_};
+            .excluded_ = item.excluded_,
+            .work_ = forecast_.expected(item.route_.name_, model, length),
+            .shared_work_ =
+                forecast_.expected(item.route_.name_, model, length - std::min(own_part, length))};
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -155,14 +160,14 @@
 auto forward_engine<Clock, Random, Port>::start(entry& item, const state::service_name& service,
                                                 const std::string& reason) -> void
 {
-    const auto endpoint = pool_.choose(query_for(item, service), clock_.now(), random_.next());
-    if (!endpoint) {
+    const auto choice = pool_.choose(query_for(item, service, item.model_), clock_.now(), random_.next());
+    if (!choice) {
         const auto kind =
             item.may_have_run_ ? state::error_kind::endpoint_failed : state::error_kind::no_capacity;
         refuse(item, kind, "No endpoint of the service may take the request.");
         return;
     }
-    dispatch(item, *endpoint, reason);
+    dispatch(item, *choice, reason);
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -228,15 +233,29 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::abandon_attempt(entry& item) -> running_attempt
 {
-    auto attempt = *item.attempt_;
+    auto attempt = release_attempt(item);
     port_.cancel(attempt.handle_);
-    pool_.end(attempt.endpoint_);
+    item.may_have_run_ = true;
+    return attempt;
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::release_attempt(entry& item) -> running_attempt
+{
+    settle(*item.attempt_);
+    auto attempt = *item.attempt_;
     owners_.erase(attempt.handle_);
+    pool_.end(attempt.endpoint_);
     item.attempt_.reset();
-    item.may_have_run_ = true;
     return attempt;
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::settle(running_attempt& attempt) -> void
+{
+    pool_.settle(attempt.endpoint_, std::exchange(attempt.work_, state::duration::zero()));
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::tick() -> void
 {
@@ -295,12 +314,16 @@
     // While all answers are late, another attempt would only add to the load.
     constexpr auto most_pressure = 0.35;
     constexpr auto late_part = 0.6;
+    // A long prompt takes its time; another endpoint would have to read it from the start.
+    constexpr auto most_expected = 3;
     auto late = std::vector<state::request_handle>{};
     for (const auto& [handle, item] : entries_) {
         if (!item.attempt_ || item.attempt_->head_time_ || !item.route_.is_repeatable())
             continue;
+        const auto part = item.route_.latency_objective_ * late_part;
+        const auto expected = item.attempt_->work_ + item.attempt_->queue_;
         const auto limit =
-            std::chrono::duration_cast<state::duration>(item.route_.latency_objective_ * late_part);
+            std::max(std::chrono::duration_cast<state::duration>(part), expected * most_expected);
         if (now - item.attempt_->started_ > limit && item.attempts_ < item.route_.most_attempts_ &&
             head_pace_.pressure(item.route_.name_) < most_pressure)
             late.push_back(handle);
--- a/libraries/coordination/forwarding/forward_request.hpp
+++ b/libraries/coordination/forwarding/forward_request.hpp
@@ -3,6 +3,7 @@
 #include "state/identifiers.hpp"
 #include "state/units.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -42,4 +43,10 @@
     std::string last_event_;
 };
 
+/// What the time to the head of its answer goes with: the tokens of the prompt, one for a plain request.
+inline auto length_of(const forward_request& request) -> std::int64_t
+{
+    return std::max<std::int64_t>(request.prompt_tokens_.value(), 1);
+}
+
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/model_choice.hpp
+++ b/libraries/coordination/forwarding/model_choice.hpp
@@ -16,16 +16,19 @@
     std::int32_t attempts_left_{0};
     state::duration since_arrival_{0};
     state::duration time_left_{0};
-    /// How long heads of answers take now: 0 at once, 1 the whole objective.
-    double pressure_{0};
+    /// When the largest model's answer would begin, counted from now.
+    state::duration expected_{0};
 };
 
 /// The model to begin with.
 auto first_model(const state::route& route) -> state::model_name;
 
-/// The model to ask instead of giving out the answer; none when the answer should be given out. While the
-/// endpoints are busy only the poorest answers are asked for again: the largest model takes ten times the
-/// smallest one's time, which others wait for.
+/// The model to ask instead of giving out the answer; none when the answer should be given out. The
+/// largest model takes ten times the smallest one's time, which others wait for, so it is asked only where
+/// its answer can still come in time. The busier the endpoints are, the shorter are the prompts for which
+/// that holds.
+///
+/// Load pattern: full load, and prompts whose lengths differ by a factor of ten.
 auto better_model(const state::route& route, const state::model_name& current, const escalation_query& query)
     -> std::optional<state::model_name>;
 
--- a/libraries/coordination/forwarding/service_roll_outs.hpp
+++ b/libraries/coordination/forwarding/service_roll_outs.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/report_scope.hpp"
 #include "coordination/forwarding/version_choice.hpp"
 #include "coordination/roll_out/evidence.hpp"
 #include "state/identifiers.hpp"
@@ -31,16 +32,6 @@
     roll_out::evidence counts_;
 };
 
-/// Whose answers a report counts.
-enum class report_scope : std::uint8_t {
-    /// Those of one router.
-    own,
-    /// Those of a watcher and of the routers that follow it.
-    subtree,
-    /// Those of all routers that the sender has heard of.
-    all,
-};
-
 /// How long a router has known an order, and whether it has found the new version worse.
 struct roll_out_age {
     state::service_name service_;
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr auto largest_number = std::int64_t{1'000'000'000'000};
+constexpr auto longest_work_ms = std::int64_t{3'600'000};
 
 /// The counts of one version on one route, as rows of group, good and bad.
 auto counts_value(const std::vector<forwarding::evidence_count>& counts) -> Json::Value
@@ -66,6 +67,30 @@
     }
 }
 
+auto work_value(const std::vector<forwarding::endpoint_work>& work) -> Json::Value
+{
+    auto value = Json::Value{Json::objectValue};
+    for (const auto& item : work) {
+        const auto pending = std::chrono::duration_cast<std::chrono::milliseconds>(item.pending_);
+        value[item.endpoint_.text()] = Json::Int64{pending.count()};
+    }
+    return value;
+}
+
+auto read_work(const Json::Value& value) -> std::vector<forwarding::endpoint_work>
+{
+    auto work = std::vector<forwarding::endpoint_work>{};
+    for (const auto& endpoint : value.getMemberNames()) {
+        const auto& pending = value[endpoint];
+        if (!pending.isInt64() || pending.asInt64() < 0 || pending.asInt64() > longest_work_ms)
+            throw state::error{state::error_kind::invalid_request, "An endpoint's work is not a time.",
+                               "Send whole milliseconds, at most an hour."};
+        work.push_back({.endpoint_ = state::endpoint_id{endpoint},
+                        .pending_ = std::chrono::milliseconds{pending.asInt64()}});
+    }
+    return work;
+}
+
 } // namespace
 
 auto to_text(const peer_message& message) -> std::string
@@ -90,6 +115,8 @@
         crash["content"] = std::to_string(item.content_.value());
         value["crashes"].append(crash);
     }
+    if (message.work_)
+        value["work_ms"] = work_value(*message.work_);
     return json::to_text(value);
 }
 
@@ -111,6 +138,9 @@
     for (auto& item : reader.children("crashes"))
         message.crashes_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
                                     .content_ = state::content_fingerprint{item.number("content")}});
+    const auto& work = reader.raw("work_ms");
+    if (work.isObject())
+        message.work_ = read_work(work);
     return message;
 }
 
--- a/libraries/protocol/peer/peer_message.hpp
+++ b/libraries/protocol/peer/peer_message.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "state/identifiers.hpp"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -22,6 +24,8 @@
     coordination::forwarding::report_scope scope_{coordination::forwarding::report_scope::own};
     coordination::forwarding::roll_out_report roll_outs_;
     std::vector<crash_word> crashes_;
+    /// The work that endpoints have; absent in messages about other things.
+    std::optional<std::vector<coordination::forwarding::endpoint_work>> work_;
 };
 
 auto to_text(const peer_message& message) -> std::string;
--- a/services/front/control_duty.cpp
+++ b/services/front/control_duty.cpp
@@ -180,7 +180,7 @@
 {
     std::visit(state::overloaded{
                    [this](const tell_peers& item) { peers_.tell_all(item.message_); },
-                   [this](const share_evidence& item) { share(item); },
+                   [this](const share_by_scope& item) { share(item); },
                    [this](const record_steps& item) {
                        for (const auto& step : item.steps_) {
                            if (recording_.insert(step.service_).second)
@@ -191,7 +191,7 @@
                action);
 }
 
-auto control_duty::share(const share_evidence& evidence) -> void
+auto control_duty::share(const share_by_scope& evidence) -> void
 {
     if (watchers_.is_watcher()) {
         peers_.tell(watchers_.other_watchers(), evidence.subtree_);
--- a/services/front/control_duty.hpp
+++ b/services/front/control_duty.hpp
@@ -85,7 +85,7 @@
         -> transport::http::awaitable<bool>;
     auto serve_peer(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     auto take(control_action& action) -> void;
-    auto share(const share_evidence& evidence) -> void;
+    auto share(const share_by_scope& evidence) -> void;
     auto record(forwarding::roll_out_step step) -> transport::http::awaitable<void>;
     auto sleep(state::duration time) -> transport::http::awaitable<void>;
     auto tell_decision(control_event event) -> void;
--- a/services/front/decision_duty.cpp
+++ b/services/front/decision_duty.cpp
@@ -13,6 +13,9 @@
 /// Peers hear of roll-outs once in so many ticks, which is once a second.
 constexpr auto ticks_per_report = std::uint64_t{50};
 
+/// Work at endpoints changes within some hundred milliseconds; so many ticks are 240 ms.
+constexpr auto ticks_per_work_report = std::uint64_t{12};
+
 auto engine_settings(const front_settings& settings) -> forwarding::forward_settings
 {
     return {.data_centre_ = settings.data_centre_, .session_lifetime_ = settings.session_lifetime_};
@@ -74,6 +77,8 @@
 {
     for (const auto& crash : message.crashes_)
         engine_.learn_crash(crash.endpoint_, crash.content_);
+    if (message.work_)
+        engine_.hear_work(message.from_, message.scope_, *message.work_);
     if (!message.roll_outs_.ages_.empty())
         engine_.hear(message.from_, message.scope_, message.roll_outs_);
 }
@@ -93,6 +98,8 @@
     publish();
     if (++ticks_ % ticks_per_report == 0)
         report();
+    if (ticks_ % ticks_per_work_report == 0)
+        share_work();
     schedule_tick();
 }
 
@@ -106,7 +113,7 @@
         return protocol::peer::peer_message{
             .from_ = instance_, .scope_ = scope, .roll_outs_ = roll_outs.report(scope, life_, now)};
     };
-    port_.to_control(share_evidence{.own_ = message(forwarding::report_scope::own),
+    port_.to_control(share_by_scope{.own_ = message(forwarding::report_scope::own),
                                     .subtree_ = message(forwarding::report_scope::subtree),
                                     .all_ = message(forwarding::report_scope::all)});
     auto steps = roll_outs.steps(now);
@@ -114,6 +121,19 @@
         port_.to_control(record_steps{std::move(steps)});
 }
 
+auto decision_duty::share_work() -> void
+{
+    auto work = engine_.share_work();
+    if (!std::exchange(has_told_work_, !work.all_.empty()) && work.all_.empty())
+        return;
+    const auto message = [&](forwarding::report_scope scope, std::vector<forwarding::endpoint_work>& items) {
+        return protocol::peer::peer_message{.from_ = instance_, .scope_ = scope, .work_ = std::move(items)};
+    };
+    port_.to_control(share_by_scope{.own_ = message(forwarding::report_scope::own, work.own_),
+                                    .subtree_ = message(forwarding::report_scope::subtree, work.subtree_),
+                                    .all_ = message(forwarding::report_scope::all, work.all_)});
+}
+
 auto decision_duty::publish() -> void
 {
     is_ready_.store(engine_.is_ready());
--- a/services/front/decision_duty.hpp
+++ b/services/front/decision_duty.hpp
@@ -47,6 +47,7 @@
     auto schedule_tick() -> void;
     auto tick() -> void;
     auto report() -> void;
+    auto share_work() -> void;
     auto publish() -> void;
 
     state::instance_id instance_;
@@ -62,6 +63,8 @@
     std::atomic<bool> is_ready_{false};
     std::atomic<std::size_t> requests_inside_{0};
     std::uint64_t ticks_{0};
+    /// Whether the last report on work had anything in it; an empty one after it is told once.
+    bool has_told_work_{false};
 };
 
 } // namespace buckthorndale::services::front
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -95,8 +95,8 @@
     protocol::peer::peer_message message_;
 };
 
-/// The evidence on versions; who gets which part follows from who watches the store.
-struct share_evidence {
+/// Reports in their three scopes; who gets which follows from who watches the store.
+struct share_by_scope {
     protocol::peer::peer_message own_;
     protocol::peer::peer_message subtree_;
     protocol::peer::peer_message all_;
@@ -106,6 +106,6 @@
     std::vector<forwarding::roll_out_step> steps_;
 };
 
-using control_action = std::variant<tell_peers, share_evidence, record_steps>;
+using control_action = std::variant<tell_peers, share_by_scope, record_steps>;
 
 } // namespace buckthorndale::services::front
--- /dev/null
+++ b/tests/protocol/peer_messages.cpp
@@ -0,0 +1,91 @@
+#include "coordination/time/seeded_random.hpp"
+#include "protocol/peer/peer_message.hpp"
+#include "state/error.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+namespace buckthorndale::tests {
+
+namespace {
+
+namespace forwarding = coordination::forwarding;
+using protocol::peer::peer_message;
+using protocol::peer::peer_message_from_text;
+
+auto sample_message() -> peer_message
+{
+    auto message =
+        peer_message{.from_ = state::instance_id{"front-1"}, .scope_ = forwarding::report_scope::subtree};
+    message.roll_outs_ = {.life_ = state::incarnation{0xffff'ffff'ffff'ffffULL},
+                          .counts_ = {{.key_ = {.service_ = state::service_name{"advisor"},
+                                                .version_ = state::version_name{"v2"},
+                                                .route_ = "inquiry",
+                                                .endpoint_group_ = 3},
+                                       .counts_ = {.good_ = 7, .bad_ = 2}}},
+                          .ages_ = {{.service_ = state::service_name{"advisor"},
+                                     .created_ = 41,
+                                     .age_ = std::chrono::milliseconds{1500},
+                                     .is_halted_ = true}}};
+    message.crashes_ = {{.endpoint_ = state::endpoint_id{"e1"},
+                         .content_ = state::content_fingerprint{0x8000'0000'0000'0001ULL}}};
+    message.work_ = {{.endpoint_ = state::endpoint_id{"e1"}, .pending_ = std::chrono::milliseconds{240}}};
+    return message;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(peer_messages)
+
+BOOST_AUTO_TEST_CASE(messages_come_back_as_they_were)
+{
+    const auto sent = sample_message();
+    const auto got = peer_message_from_text(to_text(sent));
+    BOOST_TEST(got.from_.text() == sent.from_.text());
+    BOOST_TEST((got.scope_ == sent.scope_));
+    BOOST_TEST((got.roll_outs_.life_ == sent.roll_outs_.life_));
+    BOOST_REQUIRE(got.roll_outs_.counts_.size() == 1U);
+    BOOST_TEST((got.roll_outs_.counts_.front().key_ == sent.roll_outs_.counts_.front().key_));
+    BOOST_TEST(got.roll_outs_.counts_.front().counts_.bad_ == 2);
+    BOOST_REQUIRE(got.roll_outs_.ages_.size() == 1U);
+    BOOST_TEST(got.roll_outs_.ages_.front().is_halted_);
+    BOOST_REQUIRE(got.crashes_.size() == 1U);
+    BOOST_TEST((got.crashes_.front().content_ == sent.crashes_.front().content_));
+    BOOST_TEST((got.work_ == sent.work_));
+}
+
+BOOST_AUTO_TEST_CASE(a_message_about_other_things_says_nothing_of_work)
+{
+    auto message = sample_message();
+    message.work_.reset();
+    BOOST_TEST(!peer_message_from_text(to_text(message)).work_.has_value());
+    // No work at all is something else.
+    message.work_.emplace();
+    BOOST_TEST(peer_message_from_text(to_text(message)).work_.has_value());
+}
+
+/// Property: a datagram from anywhere is read or refused with an error.
+BOOST_AUTO_TEST_CASE(damaged_datagrams_are_read_or_refused)
+{
+    auto random = coordination::time::seeded_random{17};
+    const auto whole = to_text(sample_message());
+    auto refused = 0;
+    for (auto round = 0; round < 5000; ++round) {
+        auto text = whole;
+        if (round % 4 == 0)
+            text.resize(random.next() % text.size());
+        for (auto hits = random.next() % 5; hits > 0 && !text.empty(); --hits)
+            text[random.next() % text.size()] = static_cast<char>(random.next());
+        try {
+            peer_message_from_text(text);
+        } catch (const state::error&) {
+            ++refused;
+        }
+    }
+    BOOST_TEST(refused > 1000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace buckthorndale::tests
