forwarding: Assume a pace for models not seen yet; transport: Compress with zlib

A property test over 4,000 texts lost 61 of them: Beast's inflate refuses some whole streams (Python's zlib reads the same bytes), so zlib itself does it now.

--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -120,14 +120,16 @@
         affinity = request.prompt_.front().id_;
     const auto length = length_of(request);
     const auto own_part = request.prompt_.empty() ? length : request.prompt_.back().tokens_.value();
+    const auto forecast = [&](std::int64_t units) {
+        return forecast_.expected(item.route_.name_, model, units, unknown_pace(item.route_, model));
+    };
     return {.service_ = service,
             .version_ = version,
             .affinity_ = std::move(affinity),
             .data_centre_ = settings_.data_centre_,
             .excluded_ = item.excluded_,
-            .work_ = forecast_.expected(item.route_.name_, model, length),
-            .shared_work_ =
-                forecast_.expected(item.route_.name_, model, length - std::min(own_part, length))};
+            .work_ = forecast(length),
+            .shared_work_ = forecast(length - std::min(own_part, length))};
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
--- a/libraries/coordination/forwarding/model_choice.cpp
+++ b/libraries/coordination/forwarding/model_choice.cpp
@@ -15,6 +15,11 @@
 /// keeps its endpoint from others.
 constexpr auto latest_begin_part = 0.9;
 
+/// The endpoints of the users' deployments read 51 tokens a millisecond, three times as slowly with their largest model
+/// and three times as fast with their smallest (platform sheets of both sites).
+constexpr auto pace_of_largest = std::chrono::nanoseconds{60'000};
+constexpr auto pace_of_smaller = std::chrono::nanoseconds{6'000};
+
 } // namespace
 
 auto first_model(const state::route& route) -> state::model_name
@@ -22,6 +27,13 @@
     return route.models_.front();
 }
 
+auto unknown_pace(const state::route& route, const state::model_name& model) -> std::chrono::nanoseconds
+{
+    if (route.models_.empty())
+        return std::chrono::nanoseconds::zero();
+    return model == route.models_.back() ? pace_of_largest : pace_of_smaller;
+}
+
 auto better_model(const state::route& route, const state::model_name& current, const escalation_query& query)
     -> std::optional<state::model_name>
 {
--- a/libraries/coordination/forwarding/read_forecast.cpp
+++ b/libraries/coordination/forwarding/read_forecast.cpp
@@ -18,11 +18,12 @@
 }
 
 auto read_forecast::expected(const std::string& route, const state::model_name& model,
-                             std::int64_t length) const -> state::duration
+                             std::int64_t length, std::chrono::nanoseconds unknown_pace) const
+    -> state::duration
 {
     const auto found = sums_.find({route, model});
     if (found == sums_.end() || found->second.lengths_ <= 0)
-        return state::duration::zero();
+        return std::chrono::duration_cast<state::duration>(unknown_pace * length);
     const auto time = found->second.times_us_ / found->second.lengths_ * static_cast<double>(length);
     return state::duration{static_cast<state::duration::rep>(time)};
 }
--- a/libraries/transport/deflate/deflated_text.cpp
+++ b/libraries/transport/deflate/deflated_text.cpp
@@ -1,71 +1,91 @@
 #include "transport/deflate/deflated_text.hpp"
 
 #include "state/error.hpp"
+#include "state/invariant.hpp"
 
-#include <boost/beast/zlib/deflate_stream.hpp>
-#include <boost/beast/zlib/inflate_stream.hpp>
+#include <zlib.h>
 
-namespace buckthorndale::transport::deflate {
+#include <memory>
 
-namespace zlib = boost::beast::zlib;
+namespace buckthorndale::transport::deflate {
 
 namespace {
 
 /// Texts of settings and routes repeat the same names, which a low level already finds.
 constexpr auto level = 3;
-/// 8 KiB of history; a window of the usual 32 KiB costs 256 KiB of memory while a text is packed.
-constexpr auto window_bits = 13;
+/// A raw stream, for which the library wants a negative number, with 8 KiB of history; the usual 32 KiB cost
+/// 256 KiB of memory while a text is packed.
+constexpr auto window_bits = -13;
 constexpr auto memory_level = 5;
 constexpr auto portion_size = std::size_t{16'384};
 
+using deflate_end = decltype([](z_stream* stream) { deflateEnd(stream); });
+using inflate_end = decltype([](z_stream* stream) { inflateEnd(stream); });
+
 auto bad_stream(const std::string& why) -> state::error
 {
     return {state::error_kind::invalid_request, "A compressed text cannot be read: " + why + ".",
             "Run the same release on all instances."};
 }
 
+/// The library takes its input as bytes that it does not change.
+auto set_input(z_stream& stream, std::string_view bytes) -> void
+{
+    stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+    stream.avail_in = static_cast<uInt>(bytes.size());
+}
+
+/// Runs one step of the library into space added at the end of the text. Returns its result.
+template <typename Step>
+auto append_portion(z_stream& stream, std::string& text, Step step) -> int
+{
+    const auto before = text.size();
+    text.resize(before + portion_size);
+    stream.next_out = reinterpret_cast<Bytef*>(text.data() + before);
+    stream.avail_out = static_cast<uInt>(portion_size);
+    const auto result = step();
+    text.resize(text.size() - stream.avail_out);
+    return result;
+}
+
 } // namespace
 
 auto deflated(std::string_view text) -> std::string
 {
-    auto stream = zlib::deflate_stream{};
-    stream.reset(level, window_bits, memory_level, zlib::Strategy::normal);
-    auto bytes = std::string(stream.upper_bound(text.size()), '\0');
-    auto parameters = zlib::z_params{};
-    parameters.next_in = text.data();
-    parameters.avail_in = text.size();
-    parameters.next_out = bytes.data();
-    parameters.avail_out = bytes.size();
-    auto fault = boost::system::error_code{};
-    stream.write(parameters, zlib::Flush::finish, fault);
-    bytes.resize(parameters.total_out);
+    auto stream = z_stream{};
+    const auto is_made =
+        deflateInit2(&stream, level, Z_DEFLATED, window_bits, memory_level, Z_DEFAULT_STRATEGY) == Z_OK;
+    verify(is_made, state::promise::internal_consistency, "the compression library must take its settings");
+    const auto owner = std::unique_ptr<z_stream, deflate_end>{&stream};
+    set_input(stream, text);
+    auto bytes = std::string{};
+    auto result = Z_OK;
+    while (result != Z_STREAM_END) {
+        result = append_portion(stream, bytes, [&] { return ::deflate(&stream, Z_FINISH); });
+        verify(result == Z_OK || result == Z_STREAM_END, state::promise::internal_consistency,
+               "compression with enough space must not fail");
+    }
     return bytes;
 }
 
 auto inflated(std::string_view bytes, std::size_t largest) -> std::string
 {
-    auto stream = zlib::inflate_stream{};
+    auto stream = z_stream{};
+    const auto is_made = inflateInit2(&stream, window_bits) == Z_OK;
+    verify(is_made, state::promise::internal_consistency, "the compression library must take its settings");
+    const auto owner = std::unique_ptr<z_stream, inflate_end>{&stream};
+    set_input(stream, bytes);
     auto text = std::string{};
-    auto parameters = zlib::z_params{};
-    parameters.next_in = bytes.data();
-    parameters.avail_in = bytes.size();
-    auto fault = boost::system::error_code{};
-    while (fault != zlib::error::end_of_stream) {
-        const auto before = text.size();
-        if (before > largest)
+    auto result = Z_OK;
+    while (result != Z_STREAM_END) {
+        result = append_portion(stream, text, [&] { return ::inflate(&stream, Z_NO_FLUSH); });
+        if (text.size() > largest)
             throw bad_stream("it is longer than " + std::to_string(largest) + " bytes");
-        text.resize(before + portion_size);
-        parameters.next_out = text.data() + before;
-        parameters.avail_out = portion_size;
-        fault.clear();
-        stream.write(parameters, zlib::Flush::sync, fault);
-        text.resize(text.size() - parameters.avail_out);
-        const auto is_stuck = text.size() == before && fault != zlib::error::end_of_stream;
-        if (is_stuck || (fault && fault != zlib::error::end_of_stream))
-            throw bad_stream(fault ? fault.message() : "it ends too early");
+        if (result == Z_BUF_ERROR)
+            throw bad_stream("it ends too early");
+        if (result != Z_OK && result != Z_STREAM_END)
+            throw bad_stream("it is damaged");
     }
-    if (text.size() > largest)
-        throw bad_stream("it is longer than " + std::to_string(largest) + " bytes");
     return text;
 }
 
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -206,6 +206,19 @@
     BOOST_TEST(port_.released_.size() == 1U);
 }
 
+/// Load pattern: the first seconds after a start; no answer of the largest model was seen yet.
+BOOST_AUTO_TEST_CASE(the_first_long_prompts_do_not_all_go_to_the_largest_model)
+{
+    // 60,000 tokens take the largest model longer than the objective.
+    ask(1, "", 60'000);
+    head(10);
+    BOOST_TEST(port_.orders_.size() == 1U);
+    BOOST_TEST(port_.released_.size() == 1U);
+    ask(2, "", 4000);
+    head(10);
+    BOOST_TEST(port_.orders_.back().model_.text() == "large");
+}
+
 BOOST_AUTO_TEST_CASE(a_session_keeps_its_version_from_the_end_of_a_long_request)
 {
     const auto order = std::vector<state::staged_roll_out>{
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -167,12 +167,12 @@
 {
     auto forecast = forwarding::read_forecast{};
     const auto model = state::model_name{"large"};
-    BOOST_TEST((forecast.expected("inquiry", model, 1000) == 0ms));
+    BOOST_TEST((forecast.expected("inquiry", model, 1000, 60us) == 60ms));
     for (auto i = 0; i < 50; ++i)
         forecast.record("inquiry", model, i % 2 == 0 ? 1000 : 20'000, i % 2 == 0 ? 50ms : 1000ms);
-    BOOST_TEST((forecast.expected("inquiry", model, 10'000) > 490ms));
-    BOOST_TEST((forecast.expected("inquiry", model, 10'000) < 510ms));
-    BOOST_TEST((forecast.expected("inquiry", state::model_name{"small"}, 1000) == 0ms));
+    BOOST_TEST((forecast.expected("inquiry", model, 10'000, 60us) > 490ms));
+    BOOST_TEST((forecast.expected("inquiry", model, 10'000, 60us) < 510ms));
+    BOOST_TEST((forecast.expected("inquiry", state::model_name{"small"}, 1000, 0us) == 0ms));
 }
 
 BOOST_AUTO_TEST_CASE(endpoints_that_cannot_be_reached_rest_and_are_used_when_all_rest)
--- a/tests/coordination/placement_runs.cpp
+++ b/tests/coordination/placement_runs.cpp
@@ -129,8 +129,8 @@
         const auto choice =
             *from.pool_.choose({.service_ = service,
                                 .affinity_ = subject,
-                                .work_ = from.forecast_.expected("inquiry", model, tokens),
-                                .shared_work_ = from.forecast_.expected("inquiry", model, shared_tokens)},
+                                .work_ = from.forecast_.expected("inquiry", model, tokens, 60us),
+                                .shared_work_ = from.forecast_.expected("inquiry", model, shared_tokens, 60us)},
                                time_.now(), random_.next());
         const auto work = choice.expected_ - choice.queue_;
         from.pool_.begin(choice.endpoint_, work);
--- a/tests/transport/deflated_text.cpp
+++ b/tests/transport/deflated_text.cpp
@@ -31,6 +31,25 @@
         BOOST_TEST((transport::deflate::inflated(transport::deflate::deflated(text), largest) == text));
 }
 
+/// Property: texts of any length and any mix of bytes come back.
+BOOST_AUTO_TEST_CASE(texts_of_any_length_come_back)
+{
+    auto random = std::mt19937{20'262};
+    auto lost = 0;
+    for (auto round = 0; round < 4000; ++round) {
+        auto text = std::string(random() % (round % 10 == 0 ? 60'000U : 3000U), 'x');
+        const auto letters = 1U + random() % 255U;
+        for (auto& byte : text)
+            byte = static_cast<char>(random() % letters);
+        try {
+            lost += transport::deflate::inflated(transport::deflate::deflated(text), largest) == text ? 0 : 1;
+        } catch (const state::error&) {
+            ++lost;
+        }
+    }
+    BOOST_TEST(lost == 0);
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_of_many_routes_becomes_far_shorter)
 {
     const auto text = long_text(1800);
