membership: Leave the store alone while watchers come back; forwarding: Tell of the busiest endpoints only

And what all routers are told of the endpoints' work grew with the endpoints: 10 KB four times a second at 600.

A follower asks the store itself only after 1.7 s without a watcher that vouches, inside the two seconds in which changes must be in force. Sums for all routers name the 24 endpoints with the most work, half a kilobyte.

Kept at 24 for the sake of 2 KB/s a node.

--- a/libraries/coordination/forwarding/work_exchange.cpp
+++ b/libraries/coordination/forwarding/work_exchange.cpp
@@ -29,10 +29,20 @@
     add_heard(sums, report_scope::own, now);
     auto report = work_report{.own_ = own, .subtree_ = listed(sums)};
     add_heard(sums, report_scope::subtree, now);
-    report.all_ = listed(sums);
+    report.all_ = busiest(listed(sums));
     return report;
 }
 
+auto work_exchange::busiest(std::vector<endpoint_work> work) -> std::vector<endpoint_work>
+{
+    if (work.size() <= most_told)
+        return work;
+    const auto end = work.begin() + static_cast<std::ptrdiff_t>(most_told);
+    std::ranges::partial_sort(work, end, std::ranges::greater{}, &endpoint_work::pending_);
+    work.erase(end, work.end());
+    return work;
+}
+
 auto work_exchange::others(state::time_point now) const -> std::vector<endpoint_work>
 {
     auto sums = work_map{};
--- a/libraries/coordination/forwarding/work_exchange.hpp
+++ b/libraries/coordination/forwarding/work_exchange.hpp
@@ -5,6 +5,7 @@
 #include "state/identifiers.hpp"
 #include "state/units.hpp"
 
+#include <cstddef>
 #include <map>
 #include <vector>
 
@@ -46,8 +47,13 @@
     /// Reports come four times a second; what is older than this was about requests that are over by now.
     static constexpr state::duration longest_age{std::chrono::milliseconds{1000}};
 
+    /// A report to all routers stays within half a kilobyte, however many endpoints there are.
+    static constexpr std::size_t most_told{24};
+
     auto add_heard(work_map& sums, report_scope scope, state::time_point now) const -> void;
     static auto listed(const work_map& sums) -> std::vector<endpoint_work>;
+    /// The endpoints with the most work; the rest are as good as idle beside them.
+    static auto busiest(std::vector<endpoint_work> work) -> std::vector<endpoint_work>;
 
     std::map<state::instance_id, heard_report> heard_;
     /// What this router told last; the sums that come back contain it.
--- a/libraries/coordination/membership/store_search.hpp
+++ b/libraries/coordination/membership/store_search.hpp
@@ -2,33 +2,39 @@
 
 #include "state/units.hpp"
 
+#include <optional>
+
 namespace buckthorndale::coordination::membership {
 
-/// When an instance that follows watchers asks the store itself.
+/// When an instance that follows watchers asks the store itself, so that it becomes one more that watches.
 ///
-/// Load pattern: a fleet starts. Its watchers are still reading the store when the first followers ask them.
-/// If those turned to the store at once, each of them would watch it just while hundreds of endpoints
-/// register.
+/// Load patterns: a fleet starts, and its watchers are still reading the store when the first followers ask
+/// them; or the store cuts off all watches at once, and the watchers are back within 0.3 s. If the followers
+/// turned to the store at once, each of them would watch it just while hundreds of endpoints change.
 class store_search {
 public:
     explicit store_search(state::time_point started) : started_{started} {}
 
     /// Notes that a watcher vouched for what it said.
-    auto watcher_vouched() -> void { has_heard_watcher_ = true; }
+    auto watcher_vouched(state::time_point now) -> void { vouched_at_ = now; }
 
     /// Whether to ask the store, after all watchers were asked in vain.
     auto may_ask_store(state::time_point now) const -> bool
     {
-        return has_heard_watcher_ || now - started_ > longest_start;
+        return vouched_at_ ? now - *vouched_at_ > longest_gap : now - started_ > longest_start;
     }
 
 private:
     /// Instances start within 0.3 s of each other and register within another 0.5 s; the rest of the two
     /// seconds in which an instance should be ready is left for the store.
     static constexpr state::duration longest_start{std::chrono::milliseconds{1300}};
+    /// Watchers try again after 0.3 s at most. A question that waits for news is answered within a second, so
+    /// an instance without watchers asks the store after 1.7 s, inside the two seconds in which changes must
+    /// be in force.
+    static constexpr state::duration longest_gap{std::chrono::milliseconds{1700}};
 
     state::time_point started_;
-    bool has_heard_watcher_{false};
+    std::optional<state::time_point> vouched_at_;
 };
 
 } // namespace buckthorndale::coordination::membership
--- a/services/front/control_duty_following.cpp
+++ b/services/front/control_duty_following.cpp
@@ -34,6 +34,8 @@
 /// How long an instance waits at a watcher for news. A watcher that is silent longer is given up.
 constexpr auto watcher_patience = state::duration{std::chrono::seconds{1}};
 constexpr auto watcher_slack = state::duration{std::chrono::milliseconds{600}};
+/// Pause before a follower asks its watchers again after none of them vouched.
+constexpr auto watcher_retry = state::duration{std::chrono::milliseconds{100}};
 constexpr auto news_step = state::duration{std::chrono::milliseconds{25}};
 /// A watch waits for long, so a watcher with followers asks besides whether the store still answers. Together
 /// with the way to the followers this stays under the two seconds in which a change must be in force.
@@ -149,7 +151,7 @@
         if (!watches_store() && !waits_for_other && search_.may_ask_store(clock_.now()))
             co_await try_store();
         else
-            co_await sleep(turn_step);
+            co_await sleep(watcher_retry);
     }
 }
 
@@ -178,7 +180,7 @@
         const auto vouches = co_await read_peer(kind, watcher, std::exchange(patience, watcher_patience));
         if (!vouches)
             co_return;
-        search_.watcher_vouched();
+        search_.watcher_vouched(clock_.now());
         mark_regained(kind);
     }
 }
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -163,6 +163,20 @@
     BOOST_TEST(of_near.others(at(3s)).empty());
 }
 
+/// The target is 600 endpoints; what all routers are told must not grow with them.
+BOOST_AUTO_TEST_CASE(all_routers_are_told_of_the_busiest_endpoints_only)
+{
+    auto work = std::vector<forwarding::endpoint_work>{};
+    for (auto number = 1; number <= 600; ++number)
+        work.push_back({.endpoint_ = state::endpoint_id{"e" + std::to_string(number)},
+                        .pending_ = std::chrono::milliseconds{number}});
+    auto exchange = forwarding::work_exchange{};
+    const auto told = exchange.report(work, at(1s));
+    BOOST_REQUIRE(told.all_.size() == 24U);
+    for (const auto& item : told.all_)
+        BOOST_TEST((item.pending_ > 576ms));
+}
+
 BOOST_AUTO_TEST_CASE(a_forecast_goes_with_the_length_of_the_prompt)
 {
     auto forecast = forwarding::read_forecast{};
