--- a/libraries/transport/deflate/deflated_text.cpp
+++ b/libraries/transport/deflate/deflated_text.cpp
@@ -6,6 +6,7 @@
 #include <zlib.h>
 
 #include <memory>
+#include <span>
 
 namespace buckthorndale::transport::deflate {
 
@@ -28,10 +29,15 @@
             "Run the same release on all instances."};
 }
 
-/// The library takes its input as bytes that it does not change.
-auto set_input(z_stream& stream, std::string_view bytes) -> void
+/// The bytes as the library's C interface takes them.
+auto library_bytes(std::span<char> bytes) -> Bytef*
 {
-    stream.next_in = reinterpret_cast<Bytef*>(const_cast<char*>(bytes.data()));
+    return static_cast<Bytef*>(static_cast<void*>(bytes.data()));
+}
+
+auto set_input(z_stream& stream, std::string& bytes) -> void
+{
+    stream.next_in = library_bytes(bytes);
     stream.avail_in = static_cast<uInt>(bytes.size());
 }
 
@@ -41,7 +47,7 @@
 {
     const auto before = text.size();
     text.resize(before + portion_size);
-    stream.next_out = reinterpret_cast<Bytef*>(text.data() + before);
+    stream.next_out = library_bytes(std::span{text}.subspan(before));
     stream.avail_out = static_cast<uInt>(portion_size);
     const auto result = step();
     text.resize(text.size() - stream.avail_out);
@@ -57,7 +63,9 @@
         deflateInit2(&stream, level, Z_DEFLATED, window_bits, memory_level, Z_DEFAULT_STRATEGY) == Z_OK;
     verify(is_made, state::promise::internal_consistency, "the compression library must take its settings");
     const auto owner = std::unique_ptr<z_stream, deflate_end>{&stream};
-    set_input(stream, text);
+    // The library does not change its input, but its interface asks for bytes that it could change.
+    auto input = std::string{text};
+    set_input(stream, input);
     auto bytes = std::string{};
     auto result = Z_OK;
     while (result != Z_STREAM_END) {
@@ -74,7 +82,8 @@
     const auto is_made = inflateInit2(&stream, window_bits) == Z_OK;
     verify(is_made, state::promise::internal_consistency, "the compression library must take its settings");
     const auto owner = std::unique_ptr<z_stream, inflate_end>{&stream};
-    set_input(stream, bytes);
+    auto input = std::string{bytes};
+    set_input(stream, input);
     auto text = std::string{};
     auto result = Z_OK;
     while (result != Z_STREAM_END) {
