--- a/tests/processes/front_soak.sh
+++ b/tests/processes/front_soak.sh
@@ -8,7 +8,7 @@
 source "$(dirname "$0")/system.bash" "$1"
 source platform/stand_in/system.bash
 RANDOM=$seed
-start_fronts
+start_fronts proxied
 answers="$folder/answers"
 mkdir "$answers"
 until_second=$((SECONDS + soak_seconds))
@@ -48,7 +48,8 @@
 strike() {
     local instance=$((RANDOM % 3 + 1)) engine="engine-$((RANDOM % 3 + 1))" desk="desk-$((RANDOM % 2 + 1))"
     local kinds=(declines fails breaks silent none)
-    case $((RANDOM % 9)) in
+    local routes=(store engine-1 engine-2 engine-3 desk-1) connections=(none delay cut silence reset)
+    case $((RANDOM % 12)) in
         0) restart_front "$instance" KILL ;;
         1) restart_front "$instance" TERM ;;
         2) kill -STOP "${process[front-$instance]}"; sleep 0.7; kill -CONT "${process[front-$instance]}" ;;
@@ -61,6 +62,7 @@
             sed "s/\"version\": 1,/\"version\": $generation,/" "$folder/configuration.json" >"$folder/next.json"
             put_configuration "$folder/next.json"
             ;;
+        9 | 10 | 11) break_route "${routes[RANDOM % 5]}" "${connections[RANDOM % 5]}" ;;
     esac
 }
 
@@ -100,6 +102,7 @@
 # Once nothing is wrong any more, all is served again.
 for endpoint in engine-1 engine-2 engine-3 desk-1 desk-2; do stand_in "/fault?endpoint=$endpoint&kind=none" >/dev/null; done
 stand_in '/store?down=0' >/dev/null
+for route in store engine-1 engine-2 engine-3 desk-1; do break_route "$route" none; done
 for i in 1 2 3; do wait_for 10 "front-$i is ready after the soak" front_is_ready "$i"; done
 serves() { [ "$(status_of ask "$1" "after-$RANDOM$RANDOM" /lookup/tag)" = 200 ]; }
 for i in 1 2 3; do wait_for 10 "front-$i serves after the soak" serves "$i"; done
