--- a/utilities/fault_proxy/proxied_route.cpp
+++ b/utilities/fault_proxy/proxied_route.cpp
@@ -49,8 +49,9 @@
 }
 
 proxied_route::proxied_route(asio::io_context& context, const state::network_address& listen,
-                             const state::network_address& target)
-    : context_{context}, acceptor_{context, transport::http::to_socket_address(listen)}, target_{target}
+                             state::network_address target)
+    : context_{context}, acceptor_{context, transport::http::to_socket_address(listen)},
+      target_{std::move(target)}
 {}
 
 auto proxied_route::start() -> void
--- a/utilities/fault_proxy/proxied_route.hpp
+++ b/utilities/fault_proxy/proxied_route.hpp
@@ -34,7 +34,7 @@
 public:
     /// Listens at once. Throws boost::system::system_error when the address is taken.
     proxied_route(transport::http::asio::io_context& context, const state::network_address& listen,
-                  const state::network_address& target);
+                  state::network_address target);
 
     auto start() -> void;
 
