--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -177,7 +177,8 @@
     auto expected_of_largest(const entry& item) -> state::duration;
     /// Takes the attempt's work off its endpoint.
     auto settle(running_attempt& attempt) -> void;
-    auto release_attempt(entry& item) -> running_attempt;
+    /// Takes the attempt off its request and its endpoint.
+    auto detach_attempt(entry& item) -> running_attempt;
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
     auto close_attempt(entry& item, const forward_ending& ending) -> running_attempt;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -108,7 +108,7 @@
     // How the dropped answer would have ended is not known, so it is no evidence.
     item->may_have_run_ = true;
     pool_.mark_succeeded(attempt.endpoint_);
-    release_attempt(*item);
+    detach_attempt(*item);
     item->model_ = *better;
     start_again(*item, "escalate at confidence " + std::to_string(head.confidence_.value_or(0)));
 }
@@ -141,7 +141,7 @@
 auto forward_engine<Clock, Random, Port>::close_attempt(entry& item, const forward_ending& ending)
     -> running_attempt
 {
-    auto attempt = release_attempt(item);
+    auto attempt = detach_attempt(item);
     const auto has_not_run = ending.outcome_ == forward_outcome::declined ||
                              ending.outcome_ == forward_outcome::wrong_endpoint ||
                              ending.outcome_ == forward_outcome::not_sent;
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -235,14 +235,14 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::abandon_attempt(entry& item) -> running_attempt
 {
-    auto attempt = release_attempt(item);
+    auto attempt = detach_attempt(item);
     port_.cancel(attempt.handle_);
     item.may_have_run_ = true;
     return attempt;
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::release_attempt(entry& item) -> running_attempt
+auto forward_engine<Clock, Random, Port>::detach_attempt(entry& item) -> running_attempt
 {
     settle(*item.attempt_);
     auto attempt = *item.attempt_;
--- a/libraries/coordination/forwarding/model_choice.cpp
+++ b/libraries/coordination/forwarding/model_choice.cpp
@@ -15,8 +15,8 @@
 /// keeps its endpoint from others.
 constexpr auto latest_begin_part = 0.9;
 
-/// The endpoints of the users' deployments read 51 tokens a millisecond, three times as slowly with their largest model
-/// and three times as fast with their smallest (platform sheets of both sites).
+/// The endpoints of the users' deployments read 51 tokens a millisecond, three times as slowly with their
+/// largest model and three times as fast with their smallest (platform sheets of both sites).
 constexpr auto pace_of_largest = std::chrono::nanoseconds{60'000};
 constexpr auto pace_of_smaller = std::chrono::nanoseconds{6'000};
 
--- a/libraries/coordination/forwarding/model_choice.hpp
+++ b/libraries/coordination/forwarding/model_choice.hpp
@@ -25,8 +25,8 @@
 
 /// The time that a model takes to read a token of a prompt, until answers tell.
 ///
-/// Load pattern: the first seconds after a start, when many prompts come and nothing is known. Without a figure all poor
-/// answers would be asked for again at once, from endpoints that have read nothing yet.
+/// Load pattern: the first seconds after a start, when many prompts come and nothing is known. Without a
+/// figure all poor answers would be asked for again at once, from endpoints that have read nothing yet.
 auto unknown_pace(const state::route& route, const state::model_name& model) -> std::chrono::nanoseconds;
 
 /// The model to ask instead of giving out the answer; none when the answer should be given out. The
--- a/libraries/coordination/forwarding/read_forecast.cpp
+++ b/libraries/coordination/forwarding/read_forecast.cpp
@@ -17,9 +17,8 @@
     known.times_us_ = known.times_us_ * kept_part + static_cast<double>(time.count());
 }
 
-auto read_forecast::expected(const std::string& route, const state::model_name& model,
-                             std::int64_t length, std::chrono::nanoseconds unknown_pace) const
-    -> state::duration
+auto read_forecast::expected(const std::string& route, const state::model_name& model, std::int64_t length,
+                             std::chrono::nanoseconds unknown_pace) const -> state::duration
 {
     const auto found = sums_.find({route, model});
     if (found == sums_.end() || found->second.lengths_ <= 0)
--- a/libraries/coordination/forwarding/read_forecast.hpp
+++ b/libraries/coordination/forwarding/read_forecast.hpp
@@ -19,8 +19,8 @@
     auto record(const std::string& route, const state::model_name& model, std::int64_t length,
                 state::duration time) -> void;
 
-    /// The time for a prompt of the given length; at the `unknown_pace` for each of its units while no answer of the
-    /// model was seen on the route.
+    /// The time for a prompt of the given length; at the `unknown_pace` for each of its units while no answer
+    /// of the model was seen on the route.
     auto expected(const std::string& route, const state::model_name& model, std::int64_t length,
                   std::chrono::nanoseconds unknown_pace) const -> state::duration;
 
--- a/tests/coordination/placement_runs.cpp
+++ b/tests/coordination/placement_runs.cpp
@@ -126,12 +126,12 @@
         const auto subject = uniform() < plan_.hot_part_ ? std::string{"hot"}
                                                          : std::to_string(random_.next() % plan_.subjects_);
         constexpr auto tokens = shared_tokens + own_tokens;
-        const auto choice =
-            *from.pool_.choose({.service_ = service,
-                                .affinity_ = subject,
-                                .work_ = from.forecast_.expected("inquiry", model, tokens, 60us),
-                                .shared_work_ = from.forecast_.expected("inquiry", model, shared_tokens, 60us)},
-                               time_.now(), random_.next());
+        const auto choice = *from.pool_.choose(
+            {.service_ = service,
+             .affinity_ = subject,
+             .work_ = from.forecast_.expected("inquiry", model, tokens, 60us),
+             .shared_work_ = from.forecast_.expected("inquiry", model, shared_tokens, 60us)},
+            time_.now(), random_.next());
         const auto work = choice.expected_ - choice.queue_;
         from.pool_.begin(choice.endpoint_, work);
         auto& where = engines_[choice.endpoint_];
