forwarding: Bound what a caller can claim of its prompt

Read in review: the forecast multiplies the number of tokens that a caller states in a header; the largest number overflows, and the work counted for an endpoint goes below zero, where an assertion ends the process. Ruled out: the parts' lengths of the prompt on their own; they were only subtracted, but a negative one overflowed as well. Lengths are clamped to 10 million tokens. Test: absurd lengths, failing before.

--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -118,8 +118,6 @@
         affinity = request.prompt_[request.prompt_.size() - 2].id_;
     else if (!request.prompt_.empty())
         affinity = request.prompt_.front().id_;
-    const auto length = length_of(request);
-    const auto own_part = request.prompt_.empty() ? length : request.prompt_.back().tokens_.value();
     const auto forecast = [&](std::int64_t units) {
         return forecast_.expected(item.route_.name_, model, units, unknown_pace(item.route_, model));
     };
@@ -128,8 +126,8 @@
             .affinity_ = std::move(affinity),
             .data_centre_ = settings_.data_centre_,
             .excluded_ = item.excluded_,
-            .work_ = forecast(length),
-            .shared_work_ = forecast(length - std::min(own_part, length))};
+            .work_ = forecast(length_of(request)),
+            .shared_work_ = forecast(shared_length_of(request))};
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
--- a/libraries/coordination/forwarding/forward_request.hpp
+++ b/libraries/coordination/forwarding/forward_request.hpp
@@ -43,10 +43,22 @@
     std::string last_event_;
 };
 
+/// Longer than any model's context. Callers say how long their prompts are, and no sum of it may overflow.
+inline constexpr auto longest_prompt = std::int64_t{10'000'000};
+
 /// What the time to the head of its answer goes with: the tokens of the prompt, one for a plain request.
 inline auto length_of(const forward_request& request) -> std::int64_t
 {
-    return std::max<std::int64_t>(request.prompt_tokens_.value(), 1);
+    return std::clamp<std::int64_t>(request.prompt_tokens_.value(), 1, longest_prompt);
+}
+
+/// The part of the length that other requests may share.
+inline auto shared_length_of(const forward_request& request) -> std::int64_t
+{
+    const auto length = length_of(request);
+    if (request.prompt_.empty())
+        return 0;
+    return length - std::clamp<std::int64_t>(request.prompt_.back().tokens_.value(), 0, length);
 }
 
 } // namespace buckthorndale::coordination::forwarding
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -79,7 +80,8 @@
         engine_.update_endpoints(endpoints);
     }
 
-    auto ask(std::uint64_t handle, const std::string& session = "", std::int64_t tokens = 1) -> void
+    auto ask(std::uint64_t handle, const std::string& session = "", std::int64_t tokens = 1,
+             const std::vector<forwarding::prompt_part>& parts = {}) -> void
     {
         engine_.arrive(state::request_handle{handle}, {.id_ = state::request_id{"r" + std::to_string(handle)},
                                                        .host_ = "h",
@@ -87,6 +89,7 @@
                                                        .time_allowed_ = 15s,
                                                        .leaves_model_open_ = true,
                                                        .prompt_tokens_ = state::token_count{tokens},
+                                                       .prompt_ = parts,
                                                        .session_ = state::session_id{session}});
     }
 
@@ -219,6 +222,32 @@
     BOOST_TEST(port_.orders_.back().model_.text() == "large");
 }
 
+/// What a caller says of its prompt is not to be trusted: sums of it must stay within bounds.
+BOOST_AUTO_TEST_CASE(absurd_lengths_break_nothing)
+{
+    const auto most = std::numeric_limits<std::int64_t>::max();
+    const auto least = std::numeric_limits<std::int64_t>::min();
+    auto handle = std::uint64_t{0};
+    for (const auto length : {most, least, most / 60'000, std::int64_t{-1}, std::int64_t{0}}) {
+        for (const auto part : {most, least, std::int64_t{-1}, std::int64_t{1000}}) {
+            const auto parts =
+                std::vector<forwarding::prompt_part>{{.id_ = "shared", .tokens_ = state::token_count{part}},
+                                                     {.id_ = "own", .tokens_ = state::token_count{part}}};
+            ask(++handle, "", length, parts);
+            const auto told = engine_.share_work().own_;
+            // The first one is the longest that counts, by the pace of a model that is not known yet.
+            BOOST_REQUIRE((handle > 1 || told.size() == 1U));
+            for (const auto& item : told)
+                BOOST_TEST((item.pending_ > 0min && item.pending_ <= 10min));
+            head(10);
+            head(90);
+            end(forward_outcome::whole, "9");
+        }
+    }
+    BOOST_TEST(port_.finished_.size() == handle);
+    BOOST_TEST(engine_.share_work().all_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_session_keeps_its_version_from_the_end_of_a_long_request)
 {
     const auto order = std::vector<state::staged_roll_out>{
