--- /dev/null
+++ b/libraries/transport/duty/ticker.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "state/units.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <utility>
+
+namespace buckthorndale::transport::duty {
+
+/// Calls a function again and again on a duty's thread. The interval counts from the end of each call.
+class ticker {
+public:
+    ticker(boost::asio::io_context& context, state::duration interval, std::function<void()> on_tick)
+        : timer_{context}, interval_{interval}, on_tick_{std::move(on_tick)}
+    {}
+
+    auto start() -> void { schedule(); }
+
+private:
+    auto schedule() -> void
+    {
+        timer_.expires_after(interval_);
+        timer_.async_wait([this](boost::system::error_code fault) {
+            if (fault)
+                return;
+            on_tick_();
+            schedule();
+        });
+    }
+
+    boost::asio::steady_timer timer_;
+    state::duration interval_;
+    std::function<void()> on_tick_;
+};
+
+} // namespace buckthorndale::transport::duty
--- a/services/front/decision_duty.cpp
+++ b/services/front/decision_duty.cpp
@@ -25,7 +25,8 @@
 
 decision_duty::decision_duty(const front_settings& settings)
     : instance_{settings.instance_}, life_{random_.next()}, port_{settings.instance_},
-      engine_{clock_, random_, port_, engine_settings(settings)}, timer_{duty_.context()},
+      engine_{clock_, random_, port_, engine_settings(settings)},
+      ticker_{duty_.context(), tick_interval, [this] { tick(); }},
       from_network_{ring_size, duty_.context(), [this](network_event& event) { take(event); }},
       from_control_{ring_size, duty_.context(), [this](control_event& event) { take(event); }}
 {}
@@ -38,7 +39,7 @@
 
 auto decision_duty::start() -> void
 {
-    schedule_tick();
+    ticker_.start();
     duty_.start();
 }
 
@@ -83,15 +84,6 @@
         engine_.hear(message.from_, message.scope_, message.roll_outs_);
 }
 
-auto decision_duty::schedule_tick() -> void
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait([this](boost::system::error_code fault) {
-        if (!fault)
-            tick();
-    });
-}
-
 auto decision_duty::tick() -> void
 {
     engine_.tick();
@@ -100,7 +92,6 @@
         report();
     if (ticks_ % ticks_per_work_report == 0)
         share_work();
-    schedule_tick();
 }
 
 auto decision_duty::report() -> void
@@ -136,8 +127,7 @@
 
 auto decision_duty::publish() -> void
 {
-    is_ready_.store(engine_.is_ready());
-    requests_inside_.store(engine_.size());
+    gauge_.publish(engine_.is_ready(), engine_.size());
 }
 
 } // namespace buckthorndale::services::front
--- a/services/front/decision_duty.hpp
+++ b/services/front/decision_duty.hpp
@@ -5,13 +5,12 @@
 #include "front/events.hpp"
 #include "front/front_settings.hpp"
 #include "transport/duty/duty.hpp"
+#include "transport/duty/duty_gauge.hpp"
+#include "transport/duty/ticker.hpp"
 #include "transport/process/clock.hpp"
 #include "transport/process/random.hpp"
 #include "transport/ring/bounded_ring.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
-#include <atomic>
 #include <cstdint>
 
 namespace buckthorndale::services::front {
@@ -32,10 +31,10 @@
     auto from_control() -> transport::ring::bounded_ring<control_event>& { return from_control_; }
 
     /// Whether requests can be served; any thread.
-    auto is_ready() const -> bool { return is_ready_.load(); }
+    auto is_ready() const -> bool { return gauge_.is_ready(); }
 
     /// Requests inside; any thread.
-    auto requests_inside() const -> std::size_t { return requests_inside_.load(); }
+    auto requests_inside() const -> std::size_t { return gauge_.requests_inside(); }
 
 private:
     using engine_type = forwarding::forward_engine<transport::process::system_clock,
@@ -44,7 +43,6 @@
     auto take(network_event& event) -> void;
     auto take(control_event& event) -> void;
     auto hear(const protocol::peer::peer_message& message) -> void;
-    auto schedule_tick() -> void;
     auto tick() -> void;
     auto report() -> void;
     auto share_work() -> void;
@@ -57,11 +55,10 @@
     decision_port port_;
     engine_type engine_;
     transport::duty::duty duty_{"decision"};
-    boost::asio::steady_timer timer_;
+    transport::duty::ticker ticker_;
     transport::ring::bounded_ring<network_event> from_network_;
     transport::ring::bounded_ring<control_event> from_control_;
-    std::atomic<bool> is_ready_{false};
-    std::atomic<std::size_t> requests_inside_{0};
+    transport::duty::duty_gauge gauge_;
     std::uint64_t ticks_{0};
     /// Whether the last report on work had anything in it; an empty one after it is told once.
     bool has_told_work_{false};
--- a/services/router/decision_duty.cpp
+++ b/services/router/decision_duty.cpp
@@ -17,7 +17,7 @@
 
 decision_duty::decision_duty(const router_settings& settings, state::incarnation life)
     : engine_{clock_, random_, port_, {.instance_ = settings.instance_, .life_ = life}, settings.engine_},
-      timer_{duty_.context()},
+      ticker_{duty_.context(), tick_interval, [this] { tick(); }},
       from_network_{event_ring_size, duty_.context(), [this](network_event& event) { take(event); }},
       from_control_{event_ring_size, duty_.context(), [this](control_event& event) { take(event); }}
 {}
@@ -30,7 +30,7 @@
 
 auto decision_duty::start() -> void
 {
-    schedule_tick();
+    ticker_.start();
     duty_.start();
 }
 
@@ -84,28 +84,17 @@
         engine_.learn_cleared(content);
 }
 
-auto decision_duty::schedule_tick() -> void
-{
-    timer_.expires_after(tick_interval);
-    timer_.async_wait([this](boost::system::error_code fault) {
-        if (!fault)
-            tick();
-    });
-}
-
 auto decision_duty::tick() -> void
 {
     engine_.tick();
     publish();
     if (++ticks_ % ticks_per_report == 0)
         report_evidence();
-    schedule_tick();
 }
 
 auto decision_duty::publish() -> void
 {
-    is_ready_.store(engine_.is_ready());
-    requests_inside_.store(engine_.size());
+    gauge_.publish(engine_.is_ready(), engine_.size());
     running_contents_.store(std::make_shared<const content_set>(engine_.running_contents()));
 }
 
--- a/services/router/decision_duty.hpp
+++ b/services/router/decision_duty.hpp
@@ -5,12 +5,12 @@
 #include "router/events.hpp"
 #include "router/router_settings.hpp"
 #include "transport/duty/duty.hpp"
+#include "transport/duty/duty_gauge.hpp"
+#include "transport/duty/ticker.hpp"
 #include "transport/process/clock.hpp"
 #include "transport/process/random.hpp"
 #include "transport/ring/bounded_ring.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <atomic>
 #include <memory>
 #include <set>
@@ -33,10 +33,10 @@
     auto from_control() -> transport::ring::bounded_ring<control_event>& { return from_control_; }
 
     /// Whether requests can be served; any thread.
-    auto is_ready() const -> bool { return is_ready_.load(); }
+    auto is_ready() const -> bool { return gauge_.is_ready(); }
 
     /// Requests inside; any thread.
-    auto requests_inside() const -> std::size_t { return requests_inside_.load(); }
+    auto requests_inside() const -> std::size_t { return gauge_.requests_inside(); }
 
     using content_set = std::set<state::content_fingerprint>;
 
@@ -53,7 +53,6 @@
     auto take(network_event& event) -> void;
     auto take(control_event& event) -> void;
     auto hear(const suspects_heard& word) -> void;
-    auto schedule_tick() -> void;
     auto tick() -> void;
     auto publish() -> void;
     auto report_evidence() -> void;
@@ -63,11 +62,10 @@
     decision_port port_;
     engine_type engine_;
     transport::duty::duty duty_{"decision"};
-    boost::asio::steady_timer timer_;
+    transport::duty::ticker ticker_;
     transport::ring::bounded_ring<network_event> from_network_;
     transport::ring::bounded_ring<control_event> from_control_;
-    std::atomic<bool> is_ready_{false};
-    std::atomic<std::size_t> requests_inside_{0};
+    transport::duty::duty_gauge gauge_;
     std::atomic<std::shared_ptr<const content_set>> running_contents_{std::make_shared<const content_set>()};
     std::uint64_t ticks_{0};
 };
