endpoint_pool: Rank each endpoint once; drop two members that nobody uses

The sort compared ranks that it worked out anew for each comparison, with a hash, a set lookup and an exponential each. The choice is the same; forwarding_decisions and placement_runs give the same results.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -120,26 +120,36 @@
 auto endpoint_pool::soonest_home(const std::vector<const view*>& usable, const pool_query& query,
                                  state::time_point now) -> pool_choice
 {
+    // Tried before, resting, slow, and then by a hash that is the same at every router.
+    using fitness = std::tuple<bool, bool, bool>;
+
+    struct candidate {
+        fitness fitness_;
+        std::uint64_t place_{0};
+        const view* view_{nullptr};
+    };
+
     const auto bound = pressure_bound(usable, now);
     const auto affinity = state::stable_hash(query.affinity_);
-    const auto fitness = [&](const view* known) {
+    auto homes = std::vector<candidate>{};
+    homes.reserve(usable.size());
+    for (const auto* known : usable) {
         const auto& id = known->endpoint_.id_;
-        return std::tuple{query.excluded_.contains(id), known->rests_until_ > now,
-                          pressure_of(*known, now) > bound};
-    };
-    const auto rank = [&](const view* known) {
-        return std::pair{fitness(known), state::stable_hash(known->endpoint_.id_.text(), affinity)};
-    };
-    auto homes = usable;
+        homes.push_back({.fitness_ = {query.excluded_.contains(id), known->rests_until_ > now,
+                                      pressure_of(*known, now) > bound},
+                         .place_ = state::stable_hash(id.text(), affinity),
+                         .view_ = known});
+    }
+    const auto rank = [](const candidate& item) { return std::pair{item.fitness_, item.place_}; };
     const auto considered = std::min(homes.size(), homes_considered);
     std::ranges::partial_sort(homes, homes.begin() + static_cast<std::ptrdiff_t>(considered), {}, rank);
     auto best = pool_choice{};
     auto least_cost = state::duration::max();
     for (auto place = std::size_t{0}; place < considered; ++place) {
-        const auto* known = homes[place];
-        if (fitness(known) != fitness(homes.front()))
+        const auto& home = homes[place];
+        if (home.fitness_ != homes.front().fitness_)
             break;
-        const auto queue = queue_of(*known, query);
+        const auto queue = queue_of(*home.view_, query);
         const auto read_again = place == 0 ? state::duration::zero() : query.shared_work_;
         // Each place further is a place more where the same is read and kept.
         const auto price = price_of_reading_again * (1 << place) / 2;
@@ -147,7 +157,7 @@
         if (cost >= least_cost)
             continue;
         least_cost = cost;
-        best = {.endpoint_ = known->endpoint_.id_,
+        best = {.endpoint_ = home.view_->endpoint_.id_,
                 .queue_ = queue,
                 .expected_ = queue + query.work_ + read_again};
     }
@@ -287,14 +297,6 @@
     return sum;
 }
 
-auto endpoint_pool::slots(const state::service_name& service) const -> std::int32_t
-{
-    auto sum = std::int32_t{0};
-    for (const auto* known : candidates({.service_ = service}))
-        sum += known->endpoint_.slots_;
-    return sum;
-}
-
 auto endpoint_pool::find_view(const state::endpoint_id& id) -> view*
 {
     const auto found = views_.find(id);
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -87,11 +87,6 @@
 
     auto in_flight(const state::service_name& service) const -> std::int32_t;
 
-    /// The requests that all endpoints of a service work on at once.
-    auto slots(const state::service_name& service) const -> std::int32_t;
-
-    auto size() const -> std::size_t { return views_.size(); }
-
 private:
     struct view {
         state::listed_endpoint endpoint_;
