control_duty: Wake instances that wait for news instead of looking every 25 ms

Each waiting follower cost its watcher forty wake-ups a second for each of three kinds; at the target, 16 followers a watcher, 1,920 a second. A change, or the loss of the store, now wakes them at once. Tests: the announcement, the ticker.

--- a/services/front/control_duty.cpp
+++ b/services/front/control_duty.cpp
@@ -40,7 +40,7 @@
                  .data_centre_ = settings.data_centre_,
                  .control_ = settings.control_,
                  .link_mbps_ = settings.link_mbps_}},
-      search_{clock_.now()},
+      search_{clock_.now()}, news_{duty_.context()},
       configuration_{.mirror_ = object_mirror{std::string{platform::kind::configuration}},
                      .on_change_ = [this] { take_configuration(); }},
       endpoints_{.mirror_ = object_mirror{std::string{platform::kind::endpoints}},
--- a/services/front/control_duty.hpp
+++ b/services/front/control_duty.hpp
@@ -14,6 +14,7 @@
 #include "transport/logging/logger.hpp"
 #include "transport/process/clock.hpp"
 #include "transport/process/random.hpp"
+#include "transport/ring/announcement.hpp"
 #include "transport/ring/bounded_ring.hpp"
 
 #include <functional>
@@ -70,6 +71,8 @@
 
     auto is_fresh() const -> bool;
     auto follow_until_fault(followed_kind& kind) -> transport::http::awaitable<void>;
+    /// Acts on changed objects and lets the instances know that wait for them.
+    auto take_over(followed_kind& kind) -> void;
     auto mark_regained(followed_kind& kind) -> void;
     auto mark_lost(followed_kind& kind, const std::string& reason) -> void;
     auto take_configuration() -> void;
@@ -108,6 +111,8 @@
     coordination::membership::store_search search_;
     bool are_instances_known_{false};
     bool hears_store_{true};
+    /// Announces changed objects, and that this instance no longer vouches for the store.
+    transport::ring::announcement news_;
     followed_kind configuration_;
     followed_kind endpoints_;
     followed_kind roll_outs_;
--- a/services/front/control_duty_following.cpp
+++ b/services/front/control_duty_following.cpp
@@ -36,7 +36,6 @@
 constexpr auto watcher_slack = state::duration{std::chrono::milliseconds{600}};
 /// Pause before a follower asks its watchers again after none of them vouched.
 constexpr auto watcher_retry = state::duration{std::chrono::milliseconds{100}};
-constexpr auto news_step = state::duration{std::chrono::milliseconds{25}};
 /// A watch waits for long, so a watcher with followers asks besides whether the store still answers. Together
 /// with the way to the followers this stays under the two seconds in which a change must be in force.
 constexpr auto vouch_interval = state::duration{std::chrono::milliseconds{500}};
@@ -104,9 +103,11 @@
             reason = fault.what();
         }
         const auto hears = reason.empty();
-        if (std::exchange(hears_store_, hears) != hears)
-            log_.info(hears ? std::string{"vouches for the store again"}
-                            : "does not vouch for the store reason=\"" + reason + "\"");
+        if (std::exchange(hears_store_, hears) == hears)
+            continue;
+        log_.info(hears ? std::string{"vouches for the store again"}
+                        : "does not vouch for the store reason=\"" + reason + "\"");
+        news_.announce();
     }
 }
 
@@ -210,13 +211,13 @@
     mark_regained(kind);
     if (!mirror.replace(listing))
         throw store_error{store_fault::unanswered, "the store's list is older than what is known"};
-    kind.on_change_();
+    take_over(kind);
     while (watches_store()) {
         const auto changes = co_await store_.watch(mirror.kind(), mirror.revision(), watch_patience);
         mirror.apply(changes);
         if (changes.changes_.empty())
             continue;
-        kind.on_change_();
+        take_over(kind);
         co_await sleep(pause_after_changes);
     }
 }
@@ -244,6 +245,13 @@
         directory_.lose();
     if (&kind == &configuration_)
         tell_decision(freshness_changed{false});
+    news_.announce();
+}
+
+auto control_duty::take_over(followed_kind& kind) -> void
+{
+    kind.on_change_();
+    news_.announce();
 }
 
 auto control_duty::register_instance() -> http::awaitable<void>
@@ -329,7 +337,7 @@
         if (listing.revision_ > mirror.revision() && mirror.replace(listing)) {
             log_.debug("objects taken from instance address=" + peer.text() + " kind=" + mirror.kind() +
                        " revision=" + std::to_string(listing.revision_));
-            kind.on_change_();
+            take_over(kind);
         }
     }
     co_return answer[freshness_header] == is_fresh_text;
@@ -351,7 +359,7 @@
     const auto vouches = [this] { return is_fresh() && hears_store_; };
     const auto has_news = [&] { return kind->mirror_.changed_at() > since; };
     while (!has_news() && vouches() && clock_.now() < until)
-        co_await sleep(news_step);
+        co_await news_.wait(until - clock_.now());
     auto answer = has_news() ? http::make_response(listing_status, packed_type, kind->mirror_.packed())
                              : http::make_response(no_news_status, packed_type, "");
     answer.set(freshness_header, vouches() ? is_fresh_text : "0");
--- a/tests/transport/rings_and_messages.cpp
+++ b/tests/transport/rings_and_messages.cpp
@@ -1,11 +1,15 @@
 #include "state/error.hpp"
+#include "transport/duty/ticker.hpp"
 #include "transport/http/query.hpp"
 #include "transport/http/types.hpp"
 #include "transport/process/sha256.hpp"
+#include "transport/ring/announcement.hpp"
 #include "transport/ring/bounded_ring.hpp"
 #include "transport/rpc/client_codec.hpp"
 #include "transport/rpc/method_table.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -17,6 +21,42 @@
 
 BOOST_AUTO_TEST_SUITE(rings_and_messages)
 
+BOOST_AUTO_TEST_CASE(an_announcement_wakes_all_that_wait)
+{
+    auto context = boost::asio::io_context{};
+    auto news = transport::ring::announcement{context};
+    auto woken = 0;
+    auto timed_out = 0;
+    const auto listen = [&](state::duration longest, int& count) -> boost::asio::awaitable<void> {
+        co_await news.wait(longest);
+        ++count;
+    };
+    for (auto i = 0; i < 3; ++i)
+        boost::asio::co_spawn(context, listen(std::chrono::seconds{60}, woken), boost::asio::detached);
+    boost::asio::co_spawn(context, listen(std::chrono::milliseconds{5}, timed_out), boost::asio::detached);
+    context.run_for(std::chrono::milliseconds{200});
+    BOOST_TEST(woken == 0);
+    BOOST_TEST(timed_out == 1);
+    news.announce();
+    context.run();
+    BOOST_TEST(woken == 3);
+    // Nobody waits any more.
+    news.announce();
+}
+
+BOOST_AUTO_TEST_CASE(a_ticker_goes_on)
+{
+    auto context = boost::asio::io_context{};
+    auto ticks = 0;
+    auto ticker = transport::duty::ticker{context, std::chrono::milliseconds{2}, [&] {
+                                              if (++ticks == 5)
+                                                  context.stop();
+                                          }};
+    ticker.start();
+    context.run_for(std::chrono::seconds{20});
+    BOOST_TEST(ticks == 5);
+}
+
 BOOST_AUTO_TEST_CASE(ring_keeps_order_and_loses_nothing)
 {
     constexpr auto items = 200'000;
