service_roll_outs: Begin a roll-out on a large fleet with a smaller share

Replayed with session names in the log: a session ran on the old version at front-talara-8 at 1.4 s and went on at front-paita-3 at 10.8 s, which does not know it; its draw was inside the first share. The fleet's size is the largest seen, so that crashes move no session. Weighed and not built: telling all instances of the sessions at each roll-out's start; 24 KB/s at the target.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -57,6 +57,7 @@
     auto update_endpoints(const std::vector<state::listed_endpoint>& endpoints) -> void
     {
         pool_.update(endpoints);
+        roll_outs_.note_endpoints(endpoints);
         has_endpoints_ = true;
     }
 
--- a/libraries/coordination/forwarding/service_roll_outs.cpp
+++ b/libraries/coordination/forwarding/service_roll_outs.cpp
@@ -19,9 +19,12 @@
 };
 
 // In the first half the share stays, so that sessions need not move. The users' bound on a bad version is
-// 0.0975 of the requests; the last stage leaves time for long streams on the old version to end.
+// 0.0975 of the requests; the last stage leaves time for long streams on the old version to end. A fleet of
+// more than `fleet_of_full_share` endpoints begins with less.
 constexpr auto stages = std::array{stage{.from_ = 0.0, .share_ = 0.08}, stage{.from_ = 0.53, .share_ = 0.25},
                                    stage{.from_ = 0.62, .share_ = 0.5}, stage{.from_ = 0.70, .share_ = 1.0}};
+/// The endpoints that give enough evidence with the whole first share: on nine, two answers a second.
+constexpr auto fleet_of_full_share = std::size_t{16};
 constexpr auto half = 0.5;
 constexpr auto complete_from = 0.88;
 /// Reports come every second; a process that has just started waits for a few before it completes anything.
@@ -47,6 +50,16 @@
     return sum;
 }
 
+/// The part of the first share that a fleet needs. It goes by powers of two, so that routers that know of a
+/// few more or fewer endpoints choose alike.
+auto first_share_part(std::size_t endpoints) -> double
+{
+    auto part = 1.0;
+    for (auto size = fleet_of_full_share; size < endpoints; size *= 2)
+        part /= 2;
+    return part;
+}
+
 auto is_over(staged_roll_out_state state) -> bool
 {
     return state == staged_roll_out_state::completed || state == staged_roll_out_state::rolled_back;
@@ -129,7 +142,17 @@
     return word;
 }
 
-auto service_roll_outs::share_of(const progress& item, state::time_point now) -> double
+auto service_roll_outs::note_endpoints(const std::vector<state::listed_endpoint>& endpoints) -> void
+{
+    auto counts = std::map<std::pair<state::service_name, state::version_name>, std::size_t>{};
+    for (const auto& endpoint : endpoints) {
+        const auto count = ++counts[{endpoint.service_, endpoint.version_}];
+        auto& largest = largest_fleets_[endpoint.service_];
+        largest = std::max(largest, count);
+    }
+}
+
+auto service_roll_outs::share_of(const progress& item, state::time_point now) const -> double
 {
     if (item.order_.state_ == staged_roll_out_state::completed)
         return 1.0;
@@ -143,6 +166,10 @@
         if (part >= step.from_)
             share = step.share_;
     }
+    const auto fleet = largest_fleets_.find(item.order_.service_);
+    const auto is_first_stage = part < stages[1].from_;
+    if (is_first_stage && fleet != largest_fleets_.end())
+        share *= first_share_part(fleet->second);
     return share;
 }
 
--- a/libraries/coordination/forwarding/service_roll_outs.hpp
+++ b/libraries/coordination/forwarding/service_roll_outs.hpp
@@ -4,9 +4,11 @@
 #include "coordination/forwarding/version_choice.hpp"
 #include "coordination/roll_out/evidence.hpp"
 #include "state/identifiers.hpp"
+#include "state/listed_endpoint.hpp"
 #include "state/staged_roll_out.hpp"
 #include "state/units.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -67,6 +69,13 @@
     /// Takes over the orders as they are recorded.
     auto update(const std::vector<state::staged_roll_out>& orders, state::time_point now) -> void;
 
+    /// Notes the endpoints that are listed. The more a service has, the smaller is the share that a new
+    /// version begins with.
+    ///
+    /// Load pattern: hundreds of sessions are under way when a roll-out begins, and some go on at another
+    /// router, which does not know them. Those that fall into the share change their version.
+    auto note_endpoints(const std::vector<state::listed_endpoint>& endpoints) -> void;
+
     /// Counts an answer of this router.
     auto record(const state::service_name& service, const state::version_name& version,
                 const std::string& route, const state::endpoint_id& endpoint, bool is_good) -> void;
@@ -113,13 +122,16 @@
 
     using counts_map = std::map<evidence_key, roll_out::evidence>;
 
-    static auto share_of(const progress& item, state::time_point now) -> double;
+    auto share_of(const progress& item, state::time_point now) const -> double;
     auto sums(report_scope scope, state::time_point now) const -> counts_map;
     /// The own answers and those heard of, without totals of others.
     auto added_up(report_scope scope, state::time_point now) const -> counts_map;
     auto is_worse(const progress& item, const counts_map& all) const -> bool;
 
     std::map<state::service_name, progress> services_;
+    /// The most endpoints of one version that were ever listed. Endpoints that crash or come late must not
+    /// change a share that sessions were placed by.
+    std::map<state::service_name, std::size_t> largest_fleets_;
     counts_map own_;
     std::map<state::instance_id, heard_report> heard_;
 };
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -7,6 +7,7 @@
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
 #include "coordination/forwarding/work_exchange.hpp"
+#include "coordination/time/seeded_random.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -265,6 +266,54 @@
     BOOST_TEST(!pins.find(state::session_id{}, service, at(1s)).has_value());
 }
 
+auto fleet(int size) -> std::vector<state::listed_endpoint>
+{
+    auto endpoints = std::vector<state::listed_endpoint>{};
+    for (auto number = 0; number < size; ++number)
+        endpoints.push_back({.id_ = state::endpoint_id{"e" + std::to_string(number)},
+                             .service_ = service,
+                             .version_ = old_version});
+    return endpoints;
+}
+
+BOOST_AUTO_TEST_CASE(a_small_fleet_begins_with_the_whole_first_share)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.note_endpoints(fleet(9));
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    BOOST_TEST(roll_outs.share(service, at(5s)) == 0.08);
+}
+
+BOOST_AUTO_TEST_CASE(crashed_endpoints_do_not_change_the_first_share)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.note_endpoints(fleet(90));
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    const auto before = roll_outs.share(service, at(5s));
+    roll_outs.note_endpoints(fleet(20));
+    BOOST_TEST(roll_outs.share(service, at(5s)) == before);
+    BOOST_TEST(before > 0.0);
+}
+
+/// Load pattern: 90 endpoints; fifty sessions that were under way when the roll-out began go on at another
+/// router. Twenty such days, of which none may move more than three.
+BOOST_AUTO_TEST_CASE(few_sessions_move_when_a_large_fleet_begins_a_roll_out)
+{
+    auto random = coordination::time::seeded_random{23};
+    auto elsewhere = forwarding::service_roll_outs{};
+    elsewhere.note_endpoints(fleet(90));
+    elsewhere.update({order(state::staged_roll_out_state::running)}, at(0s));
+    for (auto day = 0; day < 20; ++day) {
+        auto moved = 0;
+        for (auto session = 0; session < 50; ++session) {
+            const auto draw = static_cast<double>(random.next() >> 11U) * 0x1.0p-53;
+            const auto choice = elsewhere.choose(service, both, std::nullopt, draw, at(5s));
+            moved += choice.allows(new_version) ? 1 : 0;
+        }
+        BOOST_TEST(moved <= 3);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_bad_version_is_halted_by_the_evidence_of_all_instances)
 {
     auto roll_outs = forwarding::service_roll_outs{};
