forwarding: Keep a silent stream until another endpoint has taken it over

Callers saw streams end midway, without the rest and without a refusal, when a sound endpoint sent nothing for about a second and then went on.

Cause: the network worker gave up a stream after the route's gap objective, closed the endpoint's connection, and only then asked the engine what to do. All streams of an endpoint fall silent together, so the retry budget was empty just then, and the only thing left was to close the caller's connection. The class is giving up what one has before having the means to go on.

Now silence ends no attempt. The network worker reports a stream that is silent for 1.5 s or more, and the engine replaces the attempt only if another endpoint accepts it and the budget pays for it; otherwise it stays. The same order now holds for late response headers and for escalations, which could find no endpoint after the attempt had been cancelled. The worker keeps the id of the last event that the caller has, so events that arrive between the report and the replacement are not repeated. Silence is not counted while the process itself is paused.

--- a/libraries/coordination/forwarding/forward_command.hpp
+++ b/libraries/coordination/forwarding/forward_command.hpp
@@ -27,8 +27,9 @@
     state::time_point deadline_;
     /// How long to wait for the response headers.
     state::duration first_byte_timeout_{0};
-    /// How long a stream may be idle after the response headers.
-    state::duration stream_idle_timeout_{0};
+    /// A stream that sends nothing for this long after its response headers is reported as stalled; its
+    /// attempt goes on.
+    state::duration stall_threshold_{0};
     /// Id of the last event that the caller has; empty at the beginning of a stream.
     std::string resume_after_;
     /// Whether the response body is held back until the engine releases it.
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -12,6 +12,7 @@
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
 #include "coordination/forwarding/slow_answer_detector.hpp"
+#include "coordination/forwarding/stalled_attempt.hpp"
 #include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/retry/retry_budget.hpp"
 #include "coordination/suspicion/crash_suspects.hpp"
@@ -97,6 +98,9 @@
 
     auto response_headers_received(const response_headers& headers) -> void;
     auto attempt_ended(const forward_attempt_result& result) -> void;
+    /// Moves a stalled stream to another endpoint if one accepts it and the retry budget allows it;
+    /// otherwise the stream stays where it is, since a sound endpoint may pause.
+    auto attempt_stalled(const stalled_attempt& stall) -> void;
     auto caller_left(state::request_handle handle) -> void;
 
     /// Processes timeouts and queued requests; to be called about every 20 ms.
@@ -171,6 +175,9 @@
     /// Abandons attempts with late response headers if another attempt is likely to be faster.
     auto sweep_late_attempts(state::time_point now) -> void;
     auto abandon_attempt(entry& item) -> running_attempt;
+    /// Abandons a running attempt that sends nothing and starts another one. Returns false, and leaves the
+    /// attempt running, if no other endpoint accepts the request or the retry budget is exhausted.
+    auto replace_silent_attempt(entry& item, const std::string& reason) -> bool;
     auto start(entry& item, const state::service_name& service, const std::string& reason) -> void;
     auto start_next_attempt(entry& item, const std::string& reason) -> void;
     auto query_for(const entry& item, const state::service_name& service, const state::model_name& model)
@@ -191,6 +198,8 @@
     auto continue_after(entry& item, const running_attempt& attempt, const forward_attempt_result& result)
         -> void;
     auto can_retry(const entry& item, const running_attempt& attempt, forward_outcome outcome) -> bool;
+    /// Whether the request may run again, apart from the retry budget.
+    auto may_run_again(const entry& item, forward_outcome outcome) const -> bool;
     auto pin_session(const entry& item) -> void;
     auto finish(entry& item, state::attempt_handle attempt) -> void;
     auto refuse(entry& item, state::error_kind kind, const std::string& detail) -> void;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -28,7 +28,8 @@
     ++item.attempts_;
     last_attempt_ = last_attempt_.next();
     const auto left = item.deadline_ - now;
-    const auto may_retry = item.route_.is_repeatable() && item.attempts_ < item.route_.max_attempts_;
+    // Sound endpoints pause for about a second, and callers abandon a stream after two seconds or more.
+    constexpr auto min_stall_threshold = state::duration{std::chrono::milliseconds{1500}};
     const auto is_held =
         !item.is_model_settled_ && !item.model_.is_empty() && item.model_ != item.route_.models_.back();
     item.attempt_ = running_attempt{.handle_ = last_attempt_,
@@ -51,19 +52,20 @@
             std::to_string(pool_.in_flight(known->service_)) + ", queue " +
             std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(choice.queue_).count()) +
             " ms");
-    port_.dispatch(forward_command{.request_ = item.handle_,
-                                   .attempt_ = last_attempt_,
-                                   .address_ = known->address_,
-                                   .endpoint_ = endpoint,
-                                   .kind_ = item.route_.kind_,
-                                   .workspace_ = item.workspace_,
-                                   .model_ = item.model_,
-                                   .priority_ = item.priority_,
-                                   .deadline_ = item.deadline_,
-                                   .first_byte_timeout_ = left,
-                                   .stream_idle_timeout_ = may_retry ? item.route_.gap_objective_ : left,
-                                   .resume_after_ = item.last_event_,
-                                   .is_held_ = is_held});
+    port_.dispatch(
+        forward_command{.request_ = item.handle_,
+                        .attempt_ = last_attempt_,
+                        .address_ = known->address_,
+                        .endpoint_ = endpoint,
+                        .kind_ = item.route_.kind_,
+                        .workspace_ = item.workspace_,
+                        .model_ = item.model_,
+                        .priority_ = item.priority_,
+                        .deadline_ = item.deadline_,
+                        .first_byte_timeout_ = left,
+                        .stall_threshold_ = std::max(item.route_.gap_objective_, min_stall_threshold),
+                        .resume_after_ = item.last_event_,
+                        .is_held_ = is_held});
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -107,13 +109,64 @@
         port_.release(item->handle_, attempt.handle_);
         return;
     }
+    const auto query = query_for(*item, pick_service(*item), *better);
+    const auto choice = pool_.choose(query, clock_.now(), random_.next());
+    if (!choice) {
+        attempt.is_held_ = false;
+        item->is_model_settled_ = true;
+        log(*item, "release", "no endpoint accepts the escalation");
+        port_.release(item->handle_, attempt.handle_);
+        return;
+    }
     port_.cancel(attempt.handle_);
     // The result of the cancelled attempt is unknown, so it is not recorded as evidence.
     item->may_have_run_ = true;
     pool_.mark_succeeded(attempt.endpoint_);
     detach_attempt(*item);
     item->model_ = *better;
-    start_next_attempt(*item, "escalate at confidence " + std::to_string(headers.confidence_.value_or(0)));
+    dispatch(*item, *choice, "escalate at confidence " + std::to_string(headers.confidence_.value_or(0)));
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::attempt_stalled(const stalled_attempt& stall) -> void
+{
+    auto* item = find(stall.attempt_);
+    if (item == nullptr)
+        return;
+    if (!stall.last_event_.empty()) {
+        item->last_event_ = stall.last_event_;
+        item->is_released_ = true;
+    }
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(stall.silent_for_);
+    const auto reason = "silent for " + std::to_string(milliseconds.count()) + " ms";
+    if (!item->route_.is_repeatable() || !replace_silent_attempt(*item, "the stream is " + reason))
+        log(*item, "keep_stalled", reason);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::replace_silent_attempt(entry& item, const std::string& reason)
+    -> bool
+{
+    const auto running = *item.attempt_;
+    if (!may_run_again(item, forward_outcome::silent))
+        return false;
+    const auto is_newly_excluded = item.excluded_.insert(running.endpoint_).second;
+    const auto choice =
+        pool_.choose(query_for(item, pick_service(item), item.model_), clock_.now(), random_.next());
+    // Without other endpoints the pool chooses an excluded one.
+    const auto is_elsewhere = choice && choice->endpoint_ != running.endpoint_;
+    if (!is_elsewhere || !budgets_[running.service_].try_spend()) {
+        if (is_newly_excluded)
+            item.excluded_.erase(running.endpoint_);
+        return false;
+    }
+    const auto attempt = abandon_attempt(item);
+    const auto result =
+        forward_attempt_result{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::silent};
+    update_endpoint_state(item, attempt, result);
+    record_evidence(item, attempt, result);
+    dispatch(item, *choice, reason);
+    return true;
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -267,6 +320,15 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::can_retry(const entry& item, const running_attempt& attempt,
                                                     forward_outcome outcome) -> bool
+{
+    if (!may_run_again(item, outcome))
+        return false;
+    return outcome == forward_outcome::not_sent || budgets_[attempt.service_].try_spend();
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::may_run_again(const entry& item, forward_outcome outcome) const
+    -> bool
 {
     const auto is_harmless = item.route_.is_repeatable() || !item.may_have_run_;
     if (!is_harmless || item.attempts_ >= item.route_.max_attempts_)
@@ -277,9 +339,7 @@
     if (outcome == forward_outcome::crashed && suspects_.is_blocked(item.request_.content_))
         return false;
     constexpr auto min_time_left = state::duration{std::chrono::milliseconds{50}};
-    if (item.deadline_ - clock_.now() < min_time_left)
-        return false;
-    return budgets_[attempt.service_].try_spend();
+    return item.deadline_ - clock_.now() >= min_time_left;
 }
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -337,17 +337,12 @@
     }
     for (const auto handle : late) {
         auto& item = entries_.at(handle);
-        if (!can_retry(item, *item.attempt_, forward_outcome::silent))
+        const auto endpoint = item.attempt_->endpoint_;
+        const auto elapsed = now - item.attempt_->started_;
+        if (!replace_silent_attempt(item, "the response headers are late"))
             continue;
-        const auto attempt = abandon_attempt(item);
-        const auto result =
-            forward_attempt_result{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::silent};
-        item.excluded_.insert(attempt.endpoint_);
-        first_byte_latency_.record(item.route_.name_, now - attempt.started_, item.route_.latency_objective_);
-        pool_.record_first_byte(attempt.endpoint_, 1.0, now);
-        update_endpoint_state(item, attempt, result);
-        record_evidence(item, attempt, result);
-        start_next_attempt(item, "the head is late");
+        first_byte_latency_.record(item.route_.name_, elapsed, item.route_.latency_objective_);
+        pool_.record_first_byte(endpoint, 1.0, now);
     }
 }
 
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -54,6 +54,7 @@
         state::overloaded{
             [this](request_arrived& item) { engine_.arrive(item.handle_, std::move(item.request_)); },
             [this](const forwarding::response_headers& item) { engine_.response_headers_received(item); },
+            [this](const forwarding::stalled_attempt& item) { engine_.attempt_stalled(item); },
             [this](const forwarding::forward_attempt_result& item) { engine_.attempt_ended(item); },
             [this](const caller_disconnected& item) { engine_.caller_left(item.request_); },
         },
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -5,6 +5,7 @@
 #include "coordination/forwarding/forward_engine.hpp"
 #include "coordination/forwarding/forward_request.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
+#include "coordination/forwarding/stalled_attempt.hpp"
 #include "coordination/routing/refusal.hpp"
 #include "protocol/peer/peer_message.hpp"
 #include "state/registered_endpoint.hpp"
@@ -34,7 +35,7 @@
     state::request_handle request_;
 };
 
-using network_event = std::variant<request_arrived, forwarding::response_headers,
+using network_event = std::variant<request_arrived, forwarding::response_headers, forwarding::stalled_attempt,
                                    forwarding::forward_attempt_result, caller_disconnected>;
 
 // Events from the control worker to the decision worker.
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -125,7 +125,12 @@
 {
     auto& attempt = state.attempt_;
     while (true) {
-        const auto bytes = co_await attempt.stream_->read_some(attempt.command_.stream_idle_timeout_);
+        attempt.silent_for_ = state::duration::zero();
+        attempt.next_stall_report_ = attempt.command_.stall_threshold_;
+        attempt.is_awaiting_stream_ = true;
+        const auto remaining = std::max(attempt.command_.deadline_ - clock_.now(), state::duration{1});
+        const auto bytes = co_await attempt.stream_->read_some(remaining);
+        attempt.is_awaiting_stream_ = false;
         if (attempt.is_cancelled_)
             co_return;
         if (bytes.empty())
@@ -145,15 +150,16 @@
     auto& call = state.call_;
     // After a resume an endpoint may repeat events that the caller has received.
     const auto number = state::number_from_text<std::uint64_t>(event.id_);
-    const auto last = state::number_from_text<std::uint64_t>(state.result_.last_event_.empty()
-                                                                 ? state.attempt_.command_.resume_after_
-                                                                 : state.result_.last_event_);
+    const auto last = state::number_from_text<std::uint64_t>(
+        call.last_event_.empty() ? state.attempt_.command_.resume_after_ : call.last_event_);
     if (number && last && *number <= *last)
         return;
     if (!std::exchange(call.has_sent_headers_, true))
         call.output_.push(answer_started{platform::caller_response_headers(*state.attempt_.stream_)});
-    if (!event.id_.empty())
+    if (!event.id_.empty()) {
         state.result_.last_event_ = event.id_;
+        call.last_event_ = event.id_;
+    }
     ++state.result_.events_;
     call.output_.push(answer_chunk{std::move(event.bytes_)});
 }
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -32,6 +32,13 @@
     transport::http::asio::steady_timer release_timer_;
     /// The complete answer, unless it is streamed.
     std::optional<transport::http::response> answer_;
+    /// Whether the next part of a streamed answer is awaited from the endpoint.
+    bool is_awaiting_stream_{false};
+    /// How long nothing has arrived while it was awaited. Grows only while this process runs, so that a pause
+    /// of the process is not mistaken for one of the endpoint.
+    state::duration silent_for_{0};
+    /// The silence at which the attempt is next reported as stalled.
+    state::duration next_stall_report_{0};
 };
 
 /// The network worker's state of one caller's request.
@@ -47,6 +54,8 @@
     std::map<state::attempt_handle, std::shared_ptr<forward_attempt>> attempts_;
     /// Whether the response headers of a stream were queued for the caller.
     bool has_sent_headers_{false};
+    /// Id of the last event that was queued for the caller.
+    std::string last_event_;
     state::time_point arrived_at_;
 };
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace buckthorndale::services::front {
 
 namespace http = transport::http;
@@ -32,6 +34,10 @@
     return {.address_ = settings.probe_address_, .max_connections_ = max_probe_connections};
 }
 
+constexpr auto stall_check_interval = state::duration{std::chrono::milliseconds{100}};
+/// A longer time between two checks means that this process was paused.
+constexpr auto max_stall_check_interval = 2 * stall_check_interval;
+
 /// Cancels an attempt that waits for its release or for its endpoint.
 auto stop_attempt(forward_attempt& attempt) -> void
 {
@@ -49,11 +55,14 @@
                [this](http::exchange& exchange) { return serve_caller(exchange); }},
       probes_{worker_.context(), probe_server_settings(settings),
               [this](http::exchange& exchange) { return serve_probe(exchange); }},
+      stall_ticker_{worker_.context(), stall_check_interval, [this] { report_stalled_attempts(); }},
       from_decision_{ring_capacity, worker_.context(), [this](network_action& action) { perform(action); }}
 {}
 
 auto network_worker::start() -> void
 {
+    last_stall_check_ = clock_.now();
+    stall_ticker_.start();
     callers_.start();
     probes_.start();
     worker_.start();
@@ -158,6 +167,9 @@
     if (!call)
         return;
     auto attempt = std::make_shared<forward_attempt>(worker_.context(), command);
+    // The attempt before may have delivered more events since the engine decided to replace it.
+    if (!call->last_event_.empty())
+        attempt->command_.resume_after_ = call->last_event_;
     call->attempts_.emplace(command.attempt_, attempt);
     attempts_.emplace(command.attempt_, attempt);
     metrics_.record_attempt();
@@ -176,6 +188,24 @@
         post_to_decision(result);
 }
 
+auto network_worker::report_stalled_attempts() -> void
+{
+    const auto now = clock_.now();
+    const auto elapsed = std::min(now - std::exchange(last_stall_check_, now), max_stall_check_interval);
+    for (auto& [handle, attempt] : attempts_) {
+        if (!attempt->is_awaiting_stream_ || attempt->is_cancelled_)
+            continue;
+        attempt->silent_for_ += elapsed;
+        if (attempt->silent_for_ < attempt->next_stall_report_)
+            continue;
+        attempt->next_stall_report_ += attempt->command_.stall_threshold_;
+        const auto call = find_call(attempt->command_.request_);
+        post_to_decision(forwarding::stalled_attempt{.attempt_ = handle,
+                                                     .last_event_ = call ? call->last_event_ : std::string{},
+                                                     .silent_for_ = attempt->silent_for_});
+    }
+}
+
 auto network_worker::cancel(state::attempt_handle attempt) -> void
 {
     const auto found = attempts_.find(attempt);
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -7,6 +7,7 @@
 #include "front/traffic_metrics.hpp"
 #include "transport/http/server.hpp"
 #include "transport/ring/bounded_ring.hpp"
+#include "transport/worker/ticker.hpp"
 #include "transport/worker/worker.hpp"
 
 #include <atomic>
@@ -54,6 +55,8 @@
     auto begin_attempt(const forwarding::forward_command& command) -> void;
     auto run_attempt(std::shared_ptr<forwarded_call> call, std::shared_ptr<forward_attempt> attempt)
         -> transport::http::awaitable<void>;
+    /// Reports streams whose endpoints send nothing to the decision worker.
+    auto report_stalled_attempts() -> void;
     auto cancel(state::attempt_handle attempt) -> void;
     auto release(const release_attempt& action) -> void;
     auto finish(const finish_request& action) -> void;
@@ -69,6 +72,8 @@
     forward_runner runner_;
     transport::http::server callers_;
     transport::http::server probes_;
+    transport::worker::ticker stall_ticker_;
+    state::time_point last_stall_check_{};
     transport::ring::bounded_ring<network_action> from_decision_;
     transport::ring::bounded_ring<network_event>* decision_{nullptr};
     std::unordered_map<state::request_handle, std::shared_ptr<forwarded_call>> calls_;
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -105,6 +105,13 @@
             {.attempt_ = port_.commands_.back().attempt_, .outcome_ = outcome, .last_event_ = last_event});
     }
 
+    auto report_stall(const std::string& last_event) -> void
+    {
+        engine_.attempt_stalled({.attempt_ = port_.commands_.back().attempt_,
+                                 .last_event_ = last_event,
+                                 .silent_for_ = port_.commands_.back().stall_threshold_});
+    }
+
     auto wait(state::duration time) -> void { time_.run_until(time_.now() + time); }
 
     world::scheduler time_;
@@ -154,6 +161,56 @@
     BOOST_TEST(port_.commands_.back().endpoint_.text() != port_.commands_.front().endpoint_.text());
 }
 
+BOOST_AUTO_TEST_CASE(a_stalled_stream_goes_on_elsewhere_after_the_last_event)
+{
+    send_request(1);
+    receive_headers(90);
+    report_stall("3");
+    BOOST_TEST(port_.cancelled_.size() == 1U);
+    BOOST_REQUIRE(port_.commands_.size() == 2U);
+    BOOST_TEST(port_.commands_.back().resume_after_ == "3");
+    BOOST_TEST(port_.commands_.back().endpoint_.text() != port_.commands_.front().endpoint_.text());
+}
+
+/// Guards against giving up an attempt before there is another one: all streams of an endpoint stall at once.
+BOOST_AUTO_TEST_CASE(stalled_streams_are_kept_while_the_retry_budget_is_empty)
+{
+    constexpr auto streams = std::uint64_t{60};
+    for (auto number = std::uint64_t{1}; number <= streams; ++number) {
+        send_request(number);
+        receive_headers(90);
+    }
+    const auto first_attempts = port_.commands_;
+    for (const auto& command : first_attempts)
+        engine_.attempt_stalled({.attempt_ = command.attempt_, .last_event_ = "3", .silent_for_ = 1500ms});
+    BOOST_TEST(port_.cancelled_.size() < streams);
+    BOOST_TEST(port_.commands_.size() == first_attempts.size() + port_.cancelled_.size());
+    BOOST_TEST(port_.refusals_.empty());
+    BOOST_TEST(engine_.size() == streams);
+}
+
+BOOST_AUTO_TEST_CASE(a_stalled_stream_is_kept_while_no_other_endpoint_is_listed)
+{
+    engine_.update_endpoints({{.id_ = state::endpoint_id{"e1"}, .service_ = service, .slots_ = 8}});
+    send_request(1);
+    receive_headers(90);
+    report_stall("3");
+    BOOST_TEST(port_.cancelled_.empty());
+    BOOST_TEST(port_.refusals_.empty());
+    end_attempt(forward_outcome::complete, "9");
+    BOOST_TEST(port_.finished_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_attempt_is_kept_while_no_other_endpoint_is_listed)
+{
+    engine_.update_endpoints({{.id_ = state::endpoint_id{"e1"}, .service_ = service, .slots_ = 8}});
+    send_request(1);
+    wait(1300ms);
+    engine_.tick();
+    BOOST_TEST(port_.cancelled_.empty());
+    BOOST_TEST(port_.refusals_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(endpoints_that_are_not_reached_use_up_no_attempt)
 {
     send_request(1);
