transport: Let endpoints acknowledge nothing for some seconds

A caller's request was lost when its endpoint, or the way to it, acknowledged nothing for 1.2 s and then went on: the system broke the connection, and the attempt counted as broken or crashed.

Cause: TCP_USER_TIMEOUT of 1200 ms and a single keepalive probe on all connections. That limit is right for the store, whose loss must be known within two seconds, but an endpoint that pauses is sound.

The client now takes the limit; connections to endpoints allow 4 s, in both routers, all others keep 1.2 s. Endpoints that stay silent are noticed by the engine, which replaces late and stalled attempts long before.

--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -10,6 +10,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+
 namespace buckthorndale::transport::http {
 
 namespace {
@@ -31,13 +33,15 @@
     return {client_fault::closed, code.message()};
 }
 
-/// Enables TCP keepalive, so that the system breaks an unresponsive connection within about two seconds.
-auto enable_keepalive_probes(asio::ip::tcp::socket& socket) -> void
+/// Enables TCP keepalive, so that the system breaks a connection whose peer acknowledges nothing for this
+/// long, give or take a second.
+auto enable_keepalive_probes(asio::ip::tcp::socket& socket, state::duration max_unacknowledged) -> void
 {
     constexpr auto idle_seconds = 1;
     constexpr auto interval_seconds = 1;
-    constexpr auto probes = 1;
-    constexpr auto unacknowledged_milliseconds = 1200;
+    const auto unacknowledged_milliseconds =
+        static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(max_unacknowledged).count());
+    const auto probes = std::max(1, unacknowledged_milliseconds / 1000);
     const auto set = [&](int level, int option, int value) {
         ::setsockopt(socket.native_handle(), level, option, &value, sizeof(value));
     };
@@ -210,7 +214,7 @@
     if (fault)
         throw client_error{client_fault::not_sent, fault.message()};
     connection->socket().set_option(asio::ip::tcp::no_delay{true}, fault);
-    enable_keepalive_probes(connection->socket());
+    enable_keepalive_probes(connection->socket(), max_unacknowledged_);
     co_return connection;
 }
 
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -86,7 +86,14 @@
 /// Sends requests to endpoints, agents and the platform; keeps idle connections for reuse.
 class client {
 public:
-    explicit client(asio::io_context& context) : context_{context} {}
+    /// For endpoints. A sound one, or the way to it, may fall silent for a second or more.
+    static constexpr auto endpoint_max_unacknowledged = state::duration{std::chrono::seconds{4}};
+
+    /// Connections break when the peer's system acknowledges nothing for about `max_unacknowledged`.
+    explicit client(asio::io_context& context,
+                    state::duration max_unacknowledged = default_max_unacknowledged)
+        : context_{context}, max_unacknowledged_{max_unacknowledged}
+    {}
 
     struct timeouts {
         state::duration connect_{std::chrono::milliseconds{500}};
@@ -129,12 +136,14 @@
     auto take_idle(const state::network_address& peer) -> std::unique_ptr<beast::tcp_stream>;
     auto keep_idle(const state::network_address& peer, std::unique_ptr<beast::tcp_stream> connection) -> void;
 
+    static constexpr auto default_max_unacknowledged = state::duration{std::chrono::milliseconds{1200}};
     /// Maximum number of idle connections kept for each peer.
     static constexpr std::size_t max_idle_connections{32};
     /// Maximum size of a response body that fetch() reads.
     static constexpr std::size_t max_fetched_bytes{16'777'216};
 
     asio::io_context& context_;
+    state::duration max_unacknowledged_;
     std::map<state::network_address, std::vector<std::unique_ptr<beast::tcp_stream>>> idle_;
 };
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -50,9 +50,9 @@
 } // namespace
 
 network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready)
-    : is_ready_{std::move(is_ready)}, client_{worker_.context()}, runner_{client_},
-      callers_{worker_.context(), caller_server_settings(settings),
-               [this](http::exchange& exchange) { return serve_caller(exchange); }},
+    : is_ready_{std::move(is_ready)}, client_{worker_.context(), http::client::endpoint_max_unacknowledged},
+      runner_{client_}, callers_{worker_.context(), caller_server_settings(settings),
+                                 [this](http::exchange& exchange) { return serve_caller(exchange); }},
       probes_{worker_.context(), probe_server_settings(settings),
               [this](http::exchange& exchange) { return serve_probe(exchange); }},
       stall_ticker_{worker_.context(), stall_check_interval, [this] { report_stalled_attempts(); }},
--- a/services/router/network_worker.cpp
+++ b/services/router/network_worker.cpp
@@ -29,9 +29,10 @@
 } // namespace
 
 network_worker::network_worker(const router_settings& settings, health_checks checks)
-    : settings_{settings}, health_checks_{std::move(checks)}, client_{worker_.context()},
-      runner_{client_, metrics_}, server_{worker_.context(), settings.callers_,
-                                          [this](http::exchange& exchange) { return serve(exchange); }},
+    : settings_{settings}, health_checks_{std::move(checks)},
+      client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_, metrics_},
+      server_{worker_.context(), settings.callers_,
+              [this](http::exchange& exchange) { return serve(exchange); }},
       from_decision_{action_ring_size, worker_.context(),
                      [this](network_action& action) { process(action); }},
       from_control_{event_ring_size, worker_.context(), [this](network_notice& notice) { process(notice); }}
