front: End the call of a caller that has gone, once and in one place

Callers saw, after enough others had given up: every new connection closed without an answer while the instance said ready, and rolling restarts that took the whole grace period.

Cause: when a caller disconnects, the decision worker forgets the request, but nobody woke write_answer(), which waits on the call's queue. The coroutine held the call, its connection and its descriptor for good.

Fix: network_worker::end_call() is the only place where a call ends, whoever notices first: disconnect, failed write, abort or whole answer. It removes the call once, cancels its attempts at once, closes the queue, which now wakes its consumer, and tells the decision worker unless that has decided. The server closes a connection when its caller has gone and when its handler fails: a pending wait for the disconnect shares ownership of the connection, so one that ended with an exception stayed open as well.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -22,6 +22,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <exception>
 
 namespace buckthorndale::transport::http {
 
@@ -93,18 +94,17 @@
 
     auto run() -> awaitable<void>
     {
-        set_timeout(shared_->settings_.request_timeout_);
-        co_await handshake(stream_);
-        while (true) {
-            const auto has_request = co_await read_request();
-            if (!has_request)
-                break;
-            is_answered_ = false;
-            co_await answer();
-            if (!is_complete_ || !is_reusable())
-                break;
+        auto failure = std::exception_ptr{};
+        try {
+            co_await serve_requests();
+        } catch (...) {
+            failure = std::current_exception();
         }
+        // A pending wait for the caller's disconnect shares ownership of the connection and ends here.
+        on_disconnect_ = {};
         close();
+        if (failure)
+            std::rethrow_exception(failure);
     }
 
     auto message() const -> const request& override { return request_; }
@@ -153,6 +153,21 @@
     }
 
 private:
+    auto serve_requests() -> awaitable<void>
+    {
+        set_timeout(shared_->settings_.request_timeout_);
+        co_await handshake(stream_);
+        while (true) {
+            const auto has_request = co_await read_request();
+            if (!has_request)
+                break;
+            is_answered_ = false;
+            co_await answer();
+            if (!is_complete_ || !is_reusable())
+                break;
+        }
+    }
+
     auto check_for_disconnect(boost::system::error_code fault) -> void
     {
         if (fault || !on_disconnect_)
@@ -166,6 +181,8 @@
             return;
         const auto notify = std::exchange(on_disconnect_, {});
         notify();
+        // Ends a write that is in progress.
+        abort();
     }
 
     auto set_timeout(state::duration timeout) -> void
--- a/libraries/transport/ring/awaitable_queue.hpp
+++ b/libraries/transport/ring/awaitable_queue.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <utility>
 
 namespace buckthorndale::transport::ring {
@@ -30,12 +31,14 @@
         not_empty_.cancel();
     }
 
-    /// Removes the next item, waiting until there is one.
-    auto next() -> boost::asio::awaitable<Item>
+    /// Removes the next item, waiting until there is one; empty once the queue is closed.
+    auto next() -> boost::asio::awaitable<std::optional<Item>>
     {
-        while (items_.empty())
+        while (items_.empty() && !is_closed_)
             co_await wait_on(not_empty_);
-        auto item = std::move(items_.front());
+        if (is_closed_)
+            co_return std::nullopt;
+        auto item = std::optional<Item>{std::move(items_.front())};
         items_.pop_front();
         not_full_.cancel();
         co_return item;
@@ -48,11 +51,12 @@
             co_await wait_on(not_full_);
     }
 
-    /// Discards all items and ignores later ones, for when there is no consumer any more.
+    /// Discards all items, ignores later ones and wakes both sides: nobody needs the items any more.
     auto close() -> void
     {
         is_closed_ = true;
         items_.clear();
+        not_empty_.cancel();
         not_full_.cancel();
     }
 
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -47,6 +47,8 @@
     std::map<state::attempt_handle, std::shared_ptr<forward_attempt>> attempts_;
     /// Whether the response headers of a stream were queued for the caller.
     bool has_sent_headers_{false};
+    /// Whether the decision worker has finished or refused the request and forgotten it.
+    bool is_decided_{false};
     state::time_point arrived_at_;
 };
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <exception>
+
 namespace buckthorndale::services::front {
 
 namespace http = transport::http;
@@ -100,36 +102,50 @@
     call->arrived_at_ = clock_.now();
     calls_.emplace(handle, call);
     open_calls_.store(calls_.size());
-    exchange.watch_for_disconnect([this, handle] { post_to_decision(caller_disconnected{handle}); });
-    post_to_decision(request_arrived{handle, std::move(request)});
-    auto has_failed = false;
+    exchange.watch_for_disconnect([this, handle] { end_call(handle); });
+    auto failure = std::exception_ptr{};
     try {
+        post_to_decision(request_arrived{handle, std::move(request)});
         co_await write_answer(exchange, *call);
-    } catch (const boost::system::system_error&) {
-        has_failed = true;
+    } catch (...) {
+        failure = std::current_exception();
     }
-    calls_.erase(handle);
+    end_call(handle);
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+auto network_worker::end_call(state::request_handle handle) -> void
+{
+    const auto found = calls_.find(handle);
+    if (found == calls_.end())
+        return;
+    const auto call = found->second;
+    calls_.erase(found);
     open_calls_.store(calls_.size());
-    if (has_failed) {
-        call->output_.close();
+    for (const auto& [attempt_handle, attempt] : call->attempts_)
+        stop_attempt(*attempt);
+    call->output_.close();
+    if (!call->is_decided_)
         post_to_decision(caller_disconnected{handle});
-        exchange.abort();
-    }
 }
 
 auto network_worker::write_answer(http::exchange& exchange, forwarded_call& call) -> http::awaitable<void>
 {
     while (true) {
         auto item = co_await call.output_.next();
-        if (auto* started = std::get_if<answer_started>(&item)) {
+        // The queue is closed when the caller has gone.
+        if (!item)
+            co_return;
+        if (auto* started = std::get_if<answer_started>(&*item)) {
             metrics_.record_first_event(clock_.now() - call.arrived_at_);
             co_await exchange.begin(std::move(started->headers_));
-        } else if (const auto* chunk = std::get_if<answer_chunk>(&item)) {
+        } else if (const auto* chunk = std::get_if<answer_chunk>(&*item)) {
             co_await exchange.send_chunk(chunk->bytes_);
-        } else if (auto* complete = std::get_if<complete_answer>(&item)) {
+        } else if (auto* complete = std::get_if<complete_answer>(&*item)) {
             co_await exchange.send(std::move(complete->answer_));
             co_return;
-        } else if (std::holds_alternative<answer_ended>(item)) {
+        } else if (std::holds_alternative<answer_ended>(*item)) {
             co_await exchange.end();
             co_return;
         } else {
@@ -197,6 +213,7 @@
     const auto call = find_call(action.request_);
     if (!call)
         return;
+    call->is_decided_ = true;
     metrics_.record_answer(clock_.now() - call->arrived_at_);
     auto& answer = call->attempts_.at(action.attempt_)->answer_;
     if (!answer) {
@@ -213,6 +230,7 @@
     const auto call = find_call(action.request_);
     if (!call)
         return;
+    call->is_decided_ = true;
     metrics_.record_refusal(action.refusal_.kind_);
     if (call->has_sent_headers_)
         call->output_.push(answer_aborted{});
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -48,6 +48,9 @@
 private:
     auto serve_caller(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     auto serve_probe(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
+    /// The only place where a call ends, whoever notices its end first: cancels its attempts, ends the wait
+    /// for its answer, and tells the decision worker unless that has decided on the answer.
+    auto end_call(state::request_handle handle) -> void;
     auto write_answer(transport::http::exchange& exchange, forwarded_call& call)
         -> transport::http::awaitable<void>;
     auto perform(network_action& action) -> void;
--- a/services/router/answer_writer.cpp
+++ b/services/router/answer_writer.cpp
@@ -36,7 +36,9 @@
     auto has_more = true;
     while (has_more) {
         const auto item = co_await request_.output_.next();
-        has_more = co_await std::visit([this](const auto& value) { return write(value); }, item);
+        if (!item)
+            co_return;
+        has_more = co_await std::visit([this](const auto& value) { return write(value); }, *item);
     }
 }
 
--- a/tests/transport/rings_and_messages.cpp
+++ b/tests/transport/rings_and_messages.cpp
@@ -2,6 +2,7 @@
 #include "transport/http/query.hpp"
 #include "transport/http/types.hpp"
 #include "transport/process/sha256.hpp"
+#include "transport/ring/awaitable_queue.hpp"
 #include "transport/ring/bounded_ring.hpp"
 #include "transport/ring/notifier.hpp"
 #include "transport/rpc/client_codec.hpp"
@@ -47,6 +48,25 @@
     notifier.notify_all();
 }
 
+BOOST_AUTO_TEST_CASE(the_consumer_of_a_closed_queue_waits_for_ever)
+{
+    auto context = boost::asio::io_context{};
+    auto queue = transport::ring::awaitable_queue<int>{context, 1};
+    auto has_ended = false;
+    const auto consume = [&]() -> boost::asio::awaitable<void> {
+        while (co_await queue.next())
+            ;
+        has_ended = true;
+    };
+    boost::asio::co_spawn(context, consume(), boost::asio::detached);
+    queue.push(1);
+    context.poll();
+    BOOST_TEST(!has_ended);
+    queue.close();
+    context.poll();
+    BOOST_TEST(has_ended);
+}
+
 BOOST_AUTO_TEST_CASE(a_ticker_goes_on)
 {
     auto context = boost::asio::io_context{};
