http, front: Log each connection that ends without a complete answer

When callers report lost requests, nothing told which connections had ended early: a caller that left, a failed write, an abort and a half-sent request all ended without a line, or with one at debug level only.

The server now writes one line for each, with the request, the side that closed it, the reason, the bytes and events sent, and the age; at most 20 a second, with a count of those left out. /metrics counts them by side and shows open connections, open calls by state, open attempts, and calls that the decision worker does not know, which would show a call that nobody ends.

The checks of lines and counters use the new interface, so they could not be built before.

--- a/libraries/transport/http/exchange.hpp
+++ b/libraries/transport/http/exchange.hpp
@@ -3,6 +3,7 @@
 #include "transport/http/types.hpp"
 
 #include <functional>
+#include <string>
 #include <string_view>
 
 namespace buckthorndale::transport::http {
@@ -32,7 +33,13 @@
     virtual auto end() -> awaitable<void> = 0;
 
     /// Closes the connection without ending the response, so that the caller sees that it is incomplete.
-    virtual auto abort() -> void = 0;
+    /// The reason is logged.
+    virtual auto abort(std::string_view reason) -> void = 0;
+
+    auto abort() -> void { abort("the handler aborted the response"); }
+
+    /// Sets the text that names the request in the server's log lines, such as `request=ID`.
+    virtual auto set_label(std::string label) -> void = 0;
 
     /// Calls `on_disconnect` once if the caller closes its side before the response is complete.
     virtual auto watch_for_disconnect(std::function<void()> on_disconnect) -> void = 0;
--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -22,6 +22,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <chrono>
 #include <exception>
 
 namespace buckthorndale::transport::http {
@@ -84,10 +85,10 @@
     connection(Stream stream, std::shared_ptr<shared_state> shared)
         : stream_{std::move(stream)}, shared_{std::move(shared)}
     {
-        ++shared_->open_connections_;
+        ++shared_->counts_.open_connections_;
     }
 
-    ~connection() override { --shared_->open_connections_; }
+    ~connection() override { --shared_->counts_.open_connections_; }
 
     connection(const connection&) = delete;
     auto operator=(const connection&) -> connection& = delete;
@@ -100,6 +101,8 @@
         } catch (...) {
             failure = std::current_exception();
         }
+        if (progress_ && !is_complete_)
+            report_incomplete_answer();
         // A pending wait for the caller's disconnect shares ownership of the connection and ends here.
         on_disconnect_ = {};
         close();
@@ -126,6 +129,7 @@
 
     auto send_chunk(std::string_view bytes) -> awaitable<void> override
     {
+        ++progress_->chunks_sent_;
         return write(to_wire_chunk(bytes));
     }
 
@@ -135,12 +139,17 @@
         is_complete_ = true;
     }
 
-    auto abort() -> void override
+    using exchange::abort;
+
+    auto abort(std::string_view reason) -> void override
     {
+        end_by(connection_side::instance, std::string{reason});
         is_aborted_ = true;
         close();
     }
 
+    auto set_label(std::string label) -> void override { progress_->label_ = std::move(label); }
+
     auto watch_for_disconnect(std::function<void()> on_disconnect) -> void override
     {
         on_disconnect_ = std::move(on_disconnect);
@@ -153,6 +162,55 @@
     }
 
 private:
+    /// A request from its first byte on, and how much of its answer was sent.
+    struct request_progress {
+        std::chrono::steady_clock::time_point began_at_{std::chrono::steady_clock::now()};
+        std::string label_;
+        std::size_t bytes_sent_{0};
+        std::size_t chunks_sent_{0};
+    };
+
+    /// Why an answer stays incomplete.
+    struct ending {
+        connection_side side_{connection_side::instance};
+        std::string reason_;
+    };
+
+    /// Records why the answer stays incomplete; what was noticed first is the cause.
+    auto end_by(connection_side side, std::string reason) -> void
+    {
+        if (!ending_)
+            ending_ = ending{.side_ = side, .reason_ = std::move(reason)};
+    }
+
+    auto report_incomplete_answer() -> void
+    {
+        end_by(connection_side::instance, "the handler ended without a response");
+        const auto is_caller = ending_->side_ == connection_side::caller;
+        auto& counts = shared_->counts_;
+        ++(is_caller ? counts.incomplete_by_caller_ : counts.incomplete_by_instance_);
+        const auto now = std::chrono::steady_clock::now();
+        if (!shared_->incomplete_lines_.admits(now))
+            return;
+        const auto age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - progress_->began_at_).count();
+        const auto skipped = shared_->incomplete_lines_.take_skipped();
+        auto line = std::string{"incomplete answer "};
+        if (!progress_->label_.empty())
+            line.append(progress_->label_).append(" ");
+        line.append("closed_by=").append(is_caller ? "caller" : "instance");
+        line.append(" reason=\"").append(ending_->reason_).append("\"");
+        line.append(" bytes_sent=").append(std::to_string(progress_->bytes_sent_));
+        line.append(" chunks_sent=").append(std::to_string(progress_->chunks_sent_));
+        line.append(" after_ms=").append(std::to_string(age));
+        if (skipped > 0)
+            line.append(" lines_skipped=").append(std::to_string(skipped));
+        if (is_caller)
+            log().info(line);
+        else
+            log().warn(line);
+    }
+
     auto serve_requests() -> awaitable<void>
     {
         set_timeout(shared_->settings_.request_timeout_);
@@ -179,6 +237,7 @@
         const auto is_open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
         if (has_bytes || is_open)
             return;
+        end_by(connection_side::caller, "the caller closed its side");
         const auto notify = std::exchange(on_disconnect_, {});
         notify();
         // Ends a write that is in progress.
@@ -208,6 +267,8 @@
                 co_return false;
             buffer_.commit(received);
         }
+        progress_.emplace();
+        is_complete_ = false;
         set_timeout(shared_->settings_.request_timeout_);
         co_await beast::http::async_read(stream_, buffer_, parser,
                                          asio::redirect_error(use_awaitable, fault));
@@ -225,13 +286,19 @@
         const auto is_too_large = fault == error::body_limit || fault == error::header_limit;
         const auto is_malformed = fault.category() == make_error_code(error::bad_method).category() &&
                                   fault != error::end_of_stream && fault != error::partial_message;
-        if (!is_too_large && !is_malformed)
+        if (!is_too_large && !is_malformed) {
+            const auto is_late = fault == beast::error::timeout;
+            end_by(is_late ? connection_side::instance : connection_side::caller,
+                   is_late ? "the request was not complete in time"
+                           : "the request is incomplete: " + fault.message());
             co_return;
+        }
         const auto kind = is_too_large ? state::error_kind::too_large : state::error_kind::invalid_request;
         auto answer = problem_response({kind, "The request cannot be read: " + fault.message() + ".",
                                         "Send a smaller request, or correct it."});
         answer.keep_alive(false);
         co_await write(to_wire(answer));
+        is_complete_ = true;
         co_await discard_rest();
     }
 
@@ -254,12 +321,20 @@
     auto write(std::string bytes) -> awaitable<void>
     {
         set_timeout(shared_->settings_.write_timeout_);
-        co_await asio::async_write(stream_, asio::buffer(bytes), use_awaitable);
+        auto fault = boost::system::error_code{};
+        progress_->bytes_sent_ += co_await asio::async_write(stream_, asio::buffer(bytes),
+                                                             asio::redirect_error(use_awaitable, fault));
+        if (!fault)
+            co_return;
+        if (fault == beast::error::timeout)
+            end_by(connection_side::instance, "the caller did not read the answer in time");
+        else
+            end_by(connection_side::caller, "the answer could not be sent: " + fault.message());
+        throw boost::system::system_error{fault};
     }
 
     auto answer() -> awaitable<void>
     {
-        is_complete_ = false;
         auto problem = std::optional<response>{};
         try {
             co_await shared_->handler_(*this);
@@ -289,6 +364,8 @@
     beast::flat_buffer buffer_;
     request request_;
     std::function<void()> on_disconnect_;
+    std::optional<request_progress> progress_;
+    std::optional<ending> ending_;
     bool is_answered_{false};
     bool is_complete_{false};
     bool is_aborted_{false};
@@ -343,6 +420,13 @@
     shared_->settings_.idle_timeout_ = limits.idle_limit_;
 }
 
+auto server::counts() const -> server_counts
+{
+    auto counts = shared_->counts_;
+    counts.max_connections_ = shared_->settings_.max_connections_;
+    return counts;
+}
+
 auto server::port() const -> std::uint16_t
 {
     return acceptor_.local_endpoint().port();
@@ -361,7 +445,7 @@
             continue;
         }
         // Above the limit a connection is closed at once, which the load balancer treats as a refusal.
-        if (shared_->open_connections_ >= shared_->settings_.max_connections_)
+        if (shared_->counts_.open_connections_ >= shared_->settings_.max_connections_)
             continue;
         asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
     }
--- a/libraries/transport/http/server.hpp
+++ b/libraries/transport/http/server.hpp
@@ -2,8 +2,10 @@
 
 #include "state/routing_table.hpp"
 #include "transport/http/exchange.hpp"
+#include "transport/http/server_counts.hpp"
 #include "transport/http/server_settings.hpp"
 #include "transport/http/types.hpp"
+#include "transport/logging/line_budget.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -44,14 +46,20 @@
     /// The port in use; with port 0 in the settings, the one that the system assigned.
     auto port() const -> std::uint16_t;
 
-    auto open_connections() const -> std::size_t { return shared_->open_connections_; }
+    auto open_connections() const -> std::size_t { return shared_->counts_.open_connections_; }
+
+    auto counts() const -> server_counts;
 
 private:
+    /// Log lines about incomplete answers; further ones are only counted.
+    static constexpr std::uint64_t max_incomplete_lines_per_second{20};
+
     /// State shared by the server and its connections; owned by all of them.
     struct shared_state {
         server_settings settings_;
         exchange_handler handler_;
-        std::size_t open_connections_{0};
+        server_counts counts_;
+        logging::line_budget incomplete_lines_{max_incomplete_lines_per_second};
         bool is_stopping_{false};
         /// Closes a connection that is waiting for a request, by connection.
         std::map<const void*, std::function<void()>> idle_;
--- a/services/front/answer_queue.hpp
+++ b/services/front/answer_queue.hpp
@@ -26,7 +26,9 @@
 struct answer_ended {};
 
 /// The connection is closed, which tells the caller that the answer is incomplete.
-struct answer_aborted {};
+struct answer_aborted {
+    std::string reason_;
+};
 
 using answer_item = std::variant<answer_started, answer_chunk, complete_answer, answer_ended, answer_aborted>;
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <exception>
 
 namespace buckthorndale::services::front {
@@ -45,8 +46,10 @@
 
 } // namespace
 
-network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready)
-    : is_ready_{std::move(is_ready)}, client_{worker_.context()}, runner_{client_},
+network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready,
+                               std::function<std::size_t()> decision_requests)
+    : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)},
+      client_{worker_.context()}, runner_{client_},
       callers_{worker_.context(), caller_server_settings(settings),
                [this](http::exchange& exchange) { return serve_caller(exchange); }},
       probes_{worker_.context(), probe_server_settings(settings),
@@ -85,7 +88,7 @@
 {
     const auto path = http::split_target(exchange.message().target()).path_;
     if (path == "/metrics") {
-        co_await exchange.send(http::make_response(200, metrics_content_type, metrics_.page(calls_.size())));
+        co_await exchange.send(http::make_response(200, metrics_content_type, metrics_.page(load())));
         co_return;
     }
     const auto is_ready = is_ready_();
@@ -93,9 +96,25 @@
         http::make_response(is_ready ? 200 : 503, text_content_type, is_ready ? "ready\n" : "not ready\n"));
 }
 
+auto network_worker::load() const -> network_load
+{
+    auto load =
+        network_load{.calls_ = calls_.size(), .attempts_ = attempts_.size(), .callers_ = callers_.counts()};
+    for (const auto& [handle, call] : calls_) {
+        if (call->is_decided_)
+            ++load.decided_calls_;
+        else if (call->has_sent_headers_)
+            ++load.streaming_calls_;
+    }
+    const auto undecided = load.calls_ - load.decided_calls_;
+    load.unknown_calls_ = undecided - std::min(undecided, decision_requests_());
+    return load;
+}
+
 auto network_worker::serve_caller(http::exchange& exchange) -> http::awaitable<void>
 {
     auto request = platform::read_request(exchange.message());
+    exchange.set_label("request=" + request.id_.text());
     last_handle_ = last_handle_.next();
     const auto handle = last_handle_;
     const auto call = std::make_shared<forwarded_call>(worker_.context(), handle, exchange.message());
@@ -149,7 +168,7 @@
             co_await exchange.end();
             co_return;
         } else {
-            exchange.abort();
+            exchange.abort(std::get<answer_aborted>(*item).reason_);
             co_return;
         }
     }
@@ -233,7 +252,8 @@
     call->is_decided_ = true;
     metrics_.record_refusal(action.refusal_.kind_);
     if (call->has_sent_headers_)
-        call->output_.push(answer_aborted{});
+        call->output_.push(answer_aborted{std::string{state::to_string(action.refusal_.kind_)} + ": " +
+                                          action.refusal_.detail_});
     else
         call->output_.push(complete_answer{platform::refusal_response(action.refusal_)});
 }
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -22,7 +22,10 @@
 /// worker.
 class network_worker {
 public:
-    network_worker(const front_settings& settings, std::function<bool()> is_ready);
+    /// The functions tell whether requests can be served, and how many unfinished ones the decision worker
+    /// knows; both may be called on any thread.
+    network_worker(const front_settings& settings, std::function<bool()> is_ready,
+                   std::function<std::size_t()> decision_requests);
 
     /// Sets the ring to the decision worker; must be called before start().
     auto connect(transport::ring::bounded_ring<network_event>& decision) -> void { decision_ = &decision; }
@@ -46,6 +49,7 @@
     auto open_calls() const -> std::size_t { return open_calls_.load(); }
 
 private:
+    auto load() const -> network_load;
     auto serve_caller(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     auto serve_probe(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     /// The only place where a call ends, whoever notices its end first: cancels its attempts, ends the wait
@@ -67,6 +71,7 @@
     transport::process::system_clock clock_;
     transport::worker::worker worker_{"network"};
     std::function<bool()> is_ready_;
+    std::function<std::size_t()> decision_requests_;
     traffic_metrics metrics_;
     transport::http::client client_;
     forward_runner runner_;
--- a/services/front/traffic_metrics.cpp
+++ b/services/front/traffic_metrics.cpp
@@ -27,6 +27,15 @@
     text << name << "_count " << sum + overflow << "\n";
 }
 
+auto write_counts(std::ostringstream& text, const transport::http::server_counts& counts) -> void
+{
+    text << "buckthorndale_connections " << counts.open_connections_ << "\n";
+    text << "buckthorndale_connections_limit " << counts.max_connections_ << "\n";
+    const auto incomplete = std::string{"buckthorndale_incomplete_answers_total{closed_by="};
+    text << incomplete << "\"caller\"} " << counts.incomplete_by_caller_ << "\n";
+    text << incomplete << "\"instance\"} " << counts.incomplete_by_instance_ << "\n";
+}
+
 auto seconds(state::duration time) -> double
 {
     return std::chrono::duration<double>(time).count();
@@ -49,13 +58,20 @@
     complete_answer_(seconds(since_arrival));
 }
 
-auto traffic_metrics::page(std::size_t requests_inside) const -> std::string
+auto traffic_metrics::page(const network_load& load) const -> std::string
 {
     auto text = std::ostringstream{};
     write_histogram(text, "buckthorndale_first_event_seconds", first_event_);
     write_histogram(text, "buckthorndale_answer_seconds", complete_answer_);
     text << "buckthorndale_attempts_total " << attempts_ << "\n";
-    text << "buckthorndale_requests_inside " << requests_inside << "\n";
+    text << "buckthorndale_requests_inside " << load.calls_ << "\n";
+    const auto waiting = load.calls_ - load.streaming_calls_ - load.decided_calls_;
+    text << "buckthorndale_calls{state=\"waiting\"} " << waiting << "\n";
+    text << "buckthorndale_calls{state=\"streaming\"} " << load.streaming_calls_ << "\n";
+    text << "buckthorndale_calls{state=\"decided\"} " << load.decided_calls_ << "\n";
+    text << "buckthorndale_calls_unknown_to_decisions " << load.unknown_calls_ << "\n";
+    text << "buckthorndale_attempts_open " << load.attempts_ << "\n";
+    write_counts(text, load.callers_);
     for (const auto& [kind, count] : refusals_)
         text << "buckthorndale_refusals_total{kind=\"" << state::to_string(kind) << "\"} " << count << "\n";
     return text.str();
--- a/services/front/traffic_metrics.hpp
+++ b/services/front/traffic_metrics.hpp
@@ -2,15 +2,31 @@
 
 #include "state/error.hpp"
 #include "state/units.hpp"
+#include "transport/http/server_counts.hpp"
 
 #include <boost/histogram.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
 
 namespace buckthorndale::services::front {
 
+/// What the network worker holds at one moment.
+struct network_load {
+    std::size_t calls_{0};
+    /// Calls whose answers are being streamed.
+    std::size_t streaming_calls_{0};
+    /// Calls that the decision worker has finished or refused and whose last bytes are not yet written.
+    std::size_t decided_calls_{0};
+    /// Undecided calls that the decision worker does not know. More than zero for longer than events take
+    /// between the workers means that calls were forgotten.
+    std::size_t unknown_calls_{0};
+    std::size_t attempts_{0};
+    transport::http::server_counts callers_;
+};
+
 /// Counters and latency histograms of the network worker, rendered in the Prometheus text format.
 class traffic_metrics {
 public:
@@ -23,7 +39,7 @@
 
     auto record_attempt() -> void { ++attempts_; }
 
-    auto page(std::size_t requests_inside) const -> std::string;
+    auto page(const network_load& load) const -> std::string;
 
 private:
     using axis_type = boost::histogram::axis::variable<double>;
--- a/services/router/network_worker.cpp
+++ b/services/router/network_worker.cpp
@@ -94,6 +94,7 @@
 {
     const auto request = admit(exchange);
     const auto handle = request->handle_;
+    exchange.set_label("request=" + request->description_.id_.text());
     exchange.watch_for_disconnect([this, handle] { notify_decision(caller_disconnected{handle}); });
     auto writer = answer_writer{exchange, *request};
     auto has_failed = false;
--- /dev/null
+++ b/tests/transport/caller_connections.cpp
@@ -0,0 +1,234 @@
+#include "protocol/settings/log_settings.hpp"
+#include "transport/http/server.hpp"
+#include "transport/logging/logger.hpp"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace buckthorndale::tests {
+
+namespace asio = boost::asio;
+namespace http = transport::http;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto plain_request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A server on its own thread.
+class running_server {
+public:
+    running_server(http::server_settings settings, http::exchange_handler handler)
+        : server_{context_, std::move(settings), std::move(handler)}
+    {
+        server_.start();
+        thread_ = std::thread{[this] { context_.run(); }};
+    }
+
+    ~running_server()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    running_server(const running_server&) = delete;
+    auto operator=(const running_server&) -> running_server& = delete;
+
+    auto port() const -> std::uint16_t { return server_.port(); }
+
+    /// Calls a function of the server on its thread.
+    template <typename Function>
+    auto run(Function function) -> std::invoke_result_t<Function, http::server&>
+    {
+        auto task = std::packaged_task<std::invoke_result_t<Function, http::server&>()>{
+            [&] { return function(server_); }};
+        auto result = task.get_future();
+        asio::post(context_, std::ref(task));
+        return result.get();
+    }
+
+    auto counts() -> http::server_counts
+    {
+        return run([](http::server& server) { return server.counts(); });
+    }
+
+private:
+    asio::io_context context_;
+    http::server server_;
+    std::thread thread_;
+};
+
+auto settings() -> http::server_settings
+{
+    return {.address_ = {.host_ = "127.0.0.1", .port_ = 0}};
+}
+
+auto answer_at_once(http::exchange& exchange) -> http::awaitable<void>
+{
+    co_await exchange.send(http::make_response(200, "text/plain", "served"));
+}
+
+/// Sends the begin of a stream and then waits until the caller has gone.
+auto stream_until_disconnect(http::exchange& exchange) -> http::awaitable<void>
+{
+    auto timer =
+        asio::steady_timer{co_await asio::this_coro::executor, asio::steady_timer::time_point::max()};
+    exchange.set_label("request=" + http::header_text(exchange.message(), "Id"));
+    exchange.watch_for_disconnect([&timer] { timer.cancel(); });
+    co_await exchange.begin(http::make_response(200, "text/event-stream", ""));
+    co_await exchange.send_chunk("one");
+    co_await exchange.send_chunk("two");
+    auto ignored = boost::system::error_code{};
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+/// A caller's connection, used from the test's thread.
+class caller {
+public:
+    explicit caller(std::uint16_t port) { socket_.connect({asio::ip::address_v4::loopback(), port}); }
+
+    auto send(const std::string& bytes) -> void { asio::write(socket_, asio::buffer(bytes)); }
+
+    auto read_until(const std::string& text) -> void
+    {
+        asio::read_until(socket_, asio::dynamic_buffer(received_), text);
+    }
+
+    /// Everything that the server sends until it closes the connection.
+    auto read_all() -> std::string
+    {
+        auto ignored = boost::system::error_code{};
+        asio::read(socket_, asio::dynamic_buffer(received_), ignored);
+        return received_;
+    }
+
+    auto close() -> void { socket_.close(); }
+
+private:
+    asio::io_context context_;
+    asio::ip::tcp::socket socket_{context_};
+    std::string received_;
+};
+
+auto status_of(const std::string& answer) -> std::string
+{
+    constexpr auto version_length = std::size_t{9};
+    constexpr auto status_length = std::size_t{3};
+    return answer.size() < version_length ? "none" : answer.substr(version_length, status_length);
+}
+
+/// Waits until a condition holds, for a limited time.
+auto holds_soon(const std::function<bool()>& condition) -> bool
+{
+    constexpr auto timeout = 3s;
+    const auto until = std::chrono::steady_clock::now() + timeout;
+    while (!condition() && std::chrono::steady_clock::now() < until)
+        std::this_thread::sleep_for(5ms);
+    return condition();
+}
+
+/// Collects the log of one test.
+class log_file {
+public:
+    log_file() { transport::logging::set_up({.level_ = "info", .file_ = path_}); }
+
+    ~log_file() { std::filesystem::remove(path_); }
+
+    log_file(const log_file&) = delete;
+    auto operator=(const log_file&) -> log_file& = delete;
+
+    auto text() const -> std::string
+    {
+        auto content = std::ostringstream{};
+        content << std::ifstream{path_}.rdbuf();
+        return content.str();
+    }
+
+    auto has(const std::string& part) const -> bool
+    {
+        return holds_soon([&] { return text().find(part) != std::string::npos; });
+    }
+
+private:
+    std::string path_{std::filesystem::temp_directory_path() /
+                      ("caller-connections-" + std::to_string(::getpid()) + ".log")};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_connections)
+
+BOOST_AUTO_TEST_CASE(a_connection_that_ended_without_an_answer_was_not_logged)
+{
+    const auto log = log_file{};
+    auto server = running_server{settings(), stream_until_disconnect};
+    auto leaving = caller{server.port()};
+    leaving.send("GET / HTTP/1.1\r\nId: left-1\r\n\r\n");
+    leaving.read_until("two");
+    leaving.close();
+    BOOST_TEST(log.has("request=left-1 closed_by=caller reason=\"the caller closed its side\" bytes_sent="));
+    BOOST_TEST(log.has(" chunks_sent=2 after_ms="));
+
+    auto partial = caller{server.port()};
+    partial.send("GET / HTTP/1.1\r\n");
+    partial.close();
+    BOOST_TEST(log.has("closed_by=caller reason=\"the request is incomplete: "));
+    BOOST_TEST(server.counts().incomplete_by_caller_ == 2U);
+
+    const auto aborted = [](http::exchange& exchange) -> http::awaitable<void> {
+        exchange.abort("it is a test");
+        co_return;
+    };
+    auto aborting = running_server{settings(), aborted};
+    auto cut = caller{aborting.port()};
+    cut.send(plain_request);
+    BOOST_TEST(status_of(cut.read_all()) == "none");
+    BOOST_TEST(log.has("closed_by=instance reason=\"it is a test\" bytes_sent=0"));
+    BOOST_TEST(aborting.counts().incomplete_by_instance_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(log_lines_about_callers_that_leave_filled_the_log)
+{
+    auto budget = transport::logging::line_budget{2};
+    const auto start = transport::logging::line_budget::time_point{} + 1h;
+    auto admitted = 0;
+    for (auto i = 0; i < 10; ++i)
+        admitted += budget.admits(start) ? 1 : 0;
+    BOOST_TEST(admitted == 2);
+    BOOST_TEST(budget.admits(start + 1s));
+    BOOST_TEST(budget.take_skipped() == 8U);
+    BOOST_TEST(budget.take_skipped() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_ended_well_was_counted_as_incomplete)
+{
+    auto server = running_server{settings(), answer_at_once};
+    auto content = caller{server.port()};
+    content.send(plain_request);
+    content.read_until("served");
+    content.send(plain_request);
+    content.read_until("served");
+    content.close();
+    BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 0; }));
+    BOOST_TEST(server.counts().incomplete_by_caller_ + server.counts().incomplete_by_instance_ == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace buckthorndale::tests
