http, front: Answer callers over the limit of connections, and say so first

Callers saw connections closed without an answer while the instance said ready: from 2000 open connections on, accept_connections() dropped each new socket.

The server now reads the request's headers and answers 503 with Retry-After and Connection: close. That is bounded: 200 connections at a time and 1 s for each step; further ones are closed as before. /ready fails from nine tenths of the limit on until eight tenths are open, so that the load balancer sends new connections elsewhere before any is refused. One log line each when the limit is near, reached and left; /metrics counts refusals, with and without answer.

The test failed with the connection dropped as before: status none instead of 503, no line, no refusal counted.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -43,6 +43,14 @@
 /// Buffer size for the first bytes of a request, which are read while the connection is idle.
 constexpr auto first_read_size = std::size_t{4096};
 
+/// Fractions of the limit of connections from which on a server counts as crowded, and below which it no
+/// longer does.
+constexpr auto crowded_fraction = 0.9;
+constexpr auto uncrowded_fraction = 0.8;
+
+/// When callers that were refused may come again.
+constexpr auto refusal_retry_after = "1";
+
 /// Bytes read at a time while the rest of a rejected request is discarded.
 constexpr auto discard_size = std::size_t{16'384};
 
@@ -84,11 +92,9 @@
 public:
     connection(Stream stream, std::shared_ptr<shared_state> shared)
         : stream_{std::move(stream)}, shared_{std::move(shared)}
-    {
-        ++shared_->counts_.open_connections_;
-    }
+    {}
 
-    ~connection() override { --shared_->counts_.open_connections_; }
+    ~connection() override = default;
 
     connection(const connection&) = delete;
     auto operator=(const connection&) -> connection& = delete;
@@ -110,6 +116,29 @@
             std::rethrow_exception(failure);
     }
 
+    /// Reads a request up to the end of its headers and answers 503.
+    auto refuse() -> awaitable<void>
+    {
+        const auto timeout = shared_->settings_.refusal_timeout_;
+        set_timeout(timeout);
+        co_await handshake(stream_);
+        auto parser = beast::http::request_parser<beast::http::string_body>{};
+        parser.header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
+        co_await beast::http::async_read_header(stream_, buffer_, parser, use_awaitable);
+        progress_.emplace();
+        auto answer = problem_response({state::error_kind::no_capacity,
+                                        "This instance has reached its limit of connections.",
+                                        "Send the request again later, over a new connection."});
+        answer.set(beast::http::field::retry_after, refusal_retry_after);
+        answer.keep_alive(false);
+        co_await write(to_wire(answer), timeout);
+        is_complete_ = true;
+        co_await discard_rest(timeout);
+        close();
+    }
+
+    auto is_complete() const -> bool { return is_complete_; }
+
     auto message() const -> const request& override { return request_; }
 
     auto send(response answer) -> awaitable<void> override
@@ -299,19 +328,19 @@
         answer.keep_alive(false);
         co_await write(to_wire(answer));
         is_complete_ = true;
-        co_await discard_rest();
+        co_await discard_rest(shared_->settings_.discard_timeout_);
     }
 
     /// Reads and discards for a limited time after a rejection. Closing a socket with unread bytes resets the
     /// connection, and a caller that is still sending could lose the response.
-    auto discard_rest() -> awaitable<void>
+    auto discard_rest(state::duration timeout) -> awaitable<void>
     {
         auto fault = boost::system::error_code{};
         auto& transport = beast::get_lowest_layer(stream_);
         transport.socket().shutdown(asio::ip::tcp::socket::shutdown_send, fault);
         auto discarded = std::size_t{0};
         auto bytes = std::array<char, discard_size>{};
-        set_timeout(shared_->settings_.discard_timeout_);
+        set_timeout(timeout);
         while (!fault && discarded < shared_->settings_.max_discarded_bytes_) {
             discarded += co_await transport.async_read_some(asio::buffer(bytes),
                                                             asio::redirect_error(use_awaitable, fault));
@@ -320,7 +349,12 @@
 
     auto write(std::string bytes) -> awaitable<void>
     {
-        set_timeout(shared_->settings_.write_timeout_);
+        return write(std::move(bytes), shared_->settings_.write_timeout_);
+    }
+
+    auto write(std::string bytes, state::duration timeout) -> awaitable<void>
+    {
+        set_timeout(timeout);
         auto fault = boost::system::error_code{};
         progress_->bytes_sent_ += co_await asio::async_write(stream_, asio::buffer(bytes),
                                                              asio::redirect_error(use_awaitable, fault));
@@ -371,6 +405,55 @@
     bool is_aborted_{false};
 };
 
+auto server::shared_state::add_connection() -> void
+{
+    ++counts_.open_connections_;
+    const auto limit = static_cast<double>(settings_.max_connections_) * crowded_fraction;
+    if (is_crowded_ || static_cast<double>(counts_.open_connections_) < limit)
+        return;
+    is_crowded_ = true;
+    log().warn("limit near limit=connections open=" + std::to_string(counts_.open_connections_) +
+               " max=" + std::to_string(settings_.max_connections_));
+}
+
+auto server::shared_state::remove_connection() -> void
+{
+    --counts_.open_connections_;
+    const auto limit = static_cast<double>(settings_.max_connections_) * uncrowded_fraction;
+    if (!is_crowded_ || static_cast<double>(counts_.open_connections_) > limit)
+        return;
+    is_crowded_ = false;
+    is_at_limit_ = false;
+    log().info("limit left limit=connections open=" + std::to_string(counts_.open_connections_) +
+               " max=" + std::to_string(settings_.max_connections_) + " refused=" +
+               std::to_string(counts_.refused_ - std::exchange(refused_before_, counts_.refused_)));
+}
+
+auto server::shared_state::record_limit_reached() -> void
+{
+    if (std::exchange(is_at_limit_, true))
+        return;
+    log().warn("limit reached limit=connections open=" + std::to_string(counts_.open_connections_) +
+               " max=" + std::to_string(settings_.max_connections_));
+}
+
+/// Counts one open connection for as long as it lives.
+class server::connection_place {
+public:
+    explicit connection_place(std::shared_ptr<shared_state> shared) : shared_{std::move(shared)}
+    {
+        shared_->add_connection();
+    }
+
+    ~connection_place() { shared_->remove_connection(); }
+
+    connection_place(const connection_place&) = delete;
+    auto operator=(const connection_place&) -> connection_place& = delete;
+
+private:
+    std::shared_ptr<shared_state> shared_;
+};
+
 server::server(asio::io_context& context, server_settings settings, exchange_handler handler)
     : context_{context}, shared_{std::make_shared<shared_state>()}, acceptor_{context}
 {
@@ -444,14 +527,42 @@
             co_await timer.async_wait(use_awaitable);
             continue;
         }
-        // Above the limit a connection is closed at once, which the load balancer treats as a refusal.
-        if (shared_->counts_.open_connections_ >= shared_->settings_.max_connections_)
-            continue;
-        asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+        if (shared_->counts_.open_connections_ < shared_->settings_.max_connections_)
+            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+        else
+            asio::co_spawn(context_, refuse(std::move(socket)), asio::detached);
     }
 }
 
 auto server::serve(asio::ip::tcp::socket socket) -> awaitable<void>
+{
+    const auto place = connection_place{shared_};
+    co_await run_connection(std::move(socket), [](auto& accepted) { return accepted.run(); });
+}
+
+auto server::refuse(asio::ip::tcp::socket socket) -> awaitable<void>
+{
+    const auto shared = shared_;
+    auto& counts = shared->counts_;
+    shared->record_limit_reached();
+    ++counts.refused_;
+    if (counts.open_refusals_ >= shared->settings_.max_refusals_) {
+        ++counts.refused_without_answer_;
+        co_return;
+    }
+    ++counts.open_refusals_;
+    auto is_answered = false;
+    co_await run_connection(std::move(socket), [&is_answered](auto& accepted) -> awaitable<void> {
+        co_await accepted.refuse();
+        is_answered = accepted.is_complete();
+    });
+    --counts.open_refusals_;
+    if (!is_answered)
+        ++counts.refused_without_answer_;
+}
+
+template <typename Run>
+auto server::run_connection(asio::ip::tcp::socket socket, Run run) -> awaitable<void>
 {
     auto ignored = boost::system::error_code{};
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
@@ -461,11 +572,11 @@
             using tls_stream = beast::ssl_stream<beast::tcp_stream>;
             auto accepted =
                 std::make_shared<connection<tls_stream>>(tls_stream{std::move(stream), *tls_}, shared_);
-            co_await accepted->run();
+            co_await run(*accepted);
             co_return;
         }
         auto accepted = std::make_shared<connection<beast::tcp_stream>>(std::move(stream), shared_);
-        co_await accepted->run();
+        co_await run(*accepted);
     } catch (const boost::system::system_error& fault) {
         log().debug(std::string{"Connection failed: "} + fault.what());
     }
--- a/libraries/transport/http/server.hpp
+++ b/libraries/transport/http/server.hpp
@@ -50,6 +50,9 @@
 
     auto counts() const -> server_counts;
 
+    /// Whether nearly as many connections are open as may be. It stays true until clearly fewer are open.
+    auto is_crowded() const -> bool { return shared_->is_crowded_; }
+
 private:
     /// Log lines about incomplete answers; further ones are only counted.
     static constexpr std::uint64_t max_incomplete_lines_per_second{20};
@@ -61,15 +64,29 @@
         server_counts counts_;
         logging::line_budget incomplete_lines_{max_incomplete_lines_per_second};
         bool is_stopping_{false};
+        bool is_crowded_{false};
+        bool is_at_limit_{false};
+        /// The value of refused_ when the limit was reached.
+        std::uint64_t refused_before_{0};
+
+        auto add_connection() -> void;
+        auto remove_connection() -> void;
+        auto record_limit_reached() -> void;
         /// Closes a connection that is waiting for a request, by connection.
         std::map<const void*, std::function<void()>> idle_;
     };
 
     template <typename Stream>
     class connection;
+    class connection_place;
 
     auto accept_connections() -> awaitable<void>;
     auto serve(asio::ip::tcp::socket socket) -> awaitable<void>;
+    /// Answers a connection over the limit with 503, unless too many are being refused already.
+    auto refuse(asio::ip::tcp::socket socket) -> awaitable<void>;
+    /// Makes a connection of the socket and lets it run.
+    template <typename Run>
+    auto run_connection(asio::ip::tcp::socket socket, Run run) -> awaitable<void>;
 
     asio::io_context& context_;
     std::shared_ptr<shared_state> shared_;
--- a/libraries/transport/http/server_settings.hpp
+++ b/libraries/transport/http/server_settings.hpp
@@ -26,6 +26,10 @@
     std::size_t max_header_bytes_{16'384};
     std::size_t max_body_bytes_{4'194'304};
     std::size_t max_connections_{2000};
+    /// Connections over the limit that are answered 503 at the same time; further ones are closed at once.
+    std::size_t max_refusals_{200};
+    /// How long reading the request of such a connection, answering it and discarding its rest may take each.
+    state::duration refusal_timeout_{std::chrono::seconds{1}};
     /// Time from the first byte of a request until it is complete.
     state::duration request_timeout_{std::chrono::seconds{10}};
     /// How long an idle connection is kept open.
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -91,7 +91,8 @@
         co_await exchange.send(http::make_response(200, metrics_content_type, metrics_.page(load())));
         co_return;
     }
-    const auto is_ready = is_ready_();
+    // The load balancer sends new connections elsewhere before callers have to be refused.
+    const auto is_ready = is_ready_() && !callers_.is_crowded();
     co_await exchange.send(
         http::make_response(is_ready ? 200 : 503, text_content_type, is_ready ? "ready\n" : "not ready\n"));
 }
--- a/services/front/traffic_metrics.cpp
+++ b/services/front/traffic_metrics.cpp
@@ -31,6 +31,9 @@
 {
     text << "buckthorndale_connections " << counts.open_connections_ << "\n";
     text << "buckthorndale_connections_limit " << counts.max_connections_ << "\n";
+    text << "buckthorndale_connections_refused_total " << counts.refused_ << "\n";
+    text << "buckthorndale_connections_refused_without_answer_total " << counts.refused_without_answer_
+         << "\n";
     const auto incomplete = std::string{"buckthorndale_incomplete_answers_total{closed_by="};
     text << incomplete << "\"caller\"} " << counts.incomplete_by_caller_ << "\n";
     text << incomplete << "\"instance\"} " << counts.incomplete_by_instance_ << "\n";
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -16,9 +16,11 @@
 #include <fstream>
 #include <functional>
 #include <future>
+#include <memory>
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace buckthorndale::tests {
 
@@ -203,6 +205,53 @@
     BOOST_TEST(aborting.counts().incomplete_by_instance_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(callers_over_the_limit_of_connections_got_no_answer)
+{
+    const auto log = log_file{};
+    auto limited = settings();
+    limited.max_connections_ = 10;
+    limited.refusal_timeout_ = 200ms;
+    limited.max_refusals_ = 1;
+    auto server = running_server{limited, answer_at_once};
+    const auto is_crowded = [&] { return server.run([](http::server& item) { return item.is_crowded(); }); };
+    auto open = std::vector<std::unique_ptr<caller>>{};
+    const auto open_until = [&](std::size_t count) {
+        while (open.size() < count) {
+            open.push_back(std::make_unique<caller>(server.port()));
+            open.back()->send(plain_request);
+            open.back()->read_until("served");
+        }
+    };
+    open_until(8);
+    BOOST_TEST(!is_crowded());
+    open_until(9);
+    BOOST_TEST(is_crowded());
+    open_until(10);
+    auto refused = caller{server.port()};
+    refused.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(100'000, 'x'));
+    const auto answer = refused.read_all();
+    BOOST_TEST(status_of(answer) == "503");
+    BOOST_TEST(answer.find("Retry-After: 1\r\n") != std::string::npos);
+    BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+    refused.close();
+    BOOST_TEST(log.has("limit reached limit=connections open=10 max=10"));
+
+    // A caller that sends nothing is closed in time, and a second one meanwhile at once.
+    BOOST_TEST(holds_soon([&] { return server.counts().open_refusals_ == 0; }));
+    auto silent = caller{server.port()};
+    BOOST_TEST(holds_soon([&] { return server.counts().open_refusals_ == 1; }));
+    auto second = caller{server.port()};
+    BOOST_TEST(status_of(second.read_all()) == "none");
+    BOOST_TEST(server.counts().open_refusals_ == 1U);
+    BOOST_TEST(status_of(silent.read_all()) == "none");
+    BOOST_TEST(server.counts().refused_ == 3U);
+
+    open.resize(8);
+    BOOST_TEST(holds_soon([&] { return !is_crowded(); }));
+    BOOST_TEST(log.has("limit left limit=connections open=8 max=10 refused=3"));
+    open_until(9);
+}
+
 BOOST_AUTO_TEST_CASE(log_lines_about_callers_that_leave_filled_the_log)
 {
     auto budget = transport::logging::line_budget{2};
