http: Answer 408 to a request that is not complete in time

A caller that sent part of a request and was too slow for the rest saw its connection closed without an answer, and could not tell that nothing ran.

Cause: the timeout of the stream closes the socket, so that read_request() had nothing left to answer on. The time now runs on a timer of the connection, which only cancels the read; the answer is 408 with Connection: close, and what the caller still sends is discarded for the usual time.

The test failed before the fix: no status instead of 408, both for partial headers and for a partial body.

--- a/libraries/protocol/caller/problem.cpp
+++ b/libraries/protocol/caller/problem.cpp
@@ -72,6 +72,18 @@
     return json::to_text(problem(fault.kind(), fault.what(), coordination::routing::run_state::not_run));
 }
 
+auto problem_text(unsigned status, const std::string& title, const std::string& detail,
+                  coordination::routing::run_state run) -> std::string
+{
+    auto value = Json::Value{Json::objectValue};
+    value["type"] = "about:blank";
+    value["title"] = title;
+    value["status"] = status;
+    value["detail"] = detail;
+    value["run"] = to_text(run);
+    return json::to_text(value);
+}
+
 auto to_text(coordination::routing::run_state run) -> std::string
 {
     return run == coordination::routing::run_state::not_run ? "not-run" : "unknown";
--- a/libraries/protocol/caller/problem.hpp
+++ b/libraries/protocol/caller/problem.hpp
@@ -20,6 +20,10 @@
 /// Formats an error raised before the request was run as problem details; its run state is not-run.
 auto problem_text(const state::error& fault) -> std::string;
 
+/// Formats a problem that has a status but no error kind.
+auto problem_text(unsigned status, const std::string& title, const std::string& detail,
+                  coordination::routing::run_state run) -> std::string;
+
 auto to_text(coordination::routing::run_state run) -> std::string;
 
 } // namespace buckthorndale::protocol::caller
--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -84,6 +84,15 @@
                          protocol::caller::problem_text(fault));
 }
 
+auto late_request_response() -> response
+{
+    constexpr auto status = 408U;
+    return make_response(status, protocol::caller::problem_media_type,
+                         protocol::caller::problem_text(status, "request-timeout",
+                                                        "The request was not complete in time.",
+                                                        coordination::routing::run_state::not_run));
+}
+
 } // namespace
 
 /// A connection: reads requests and passes each to the handler.
@@ -91,7 +100,7 @@
 class server::connection : public exchange, public std::enable_shared_from_this<connection<Stream>> {
 public:
     connection(Stream stream, std::shared_ptr<shared_state> shared)
-        : stream_{std::move(stream)}, shared_{std::move(shared)}
+        : stream_{std::move(stream)}, shared_{std::move(shared)}, timer_{stream_.get_executor()}
     {}
 
     ~connection() override = default;
@@ -273,6 +282,27 @@
         abort();
     }
 
+    /// Calls a function after a time unless the timer is stopped before; meanwhile the stream has no timeout.
+    template <typename Function>
+    auto call_after(state::duration timeout, Function function) -> void
+    {
+        beast::get_lowest_layer(stream_).expires_never();
+        timer_.expires_after(timeout);
+        timer_.async_wait([self = this->weak_from_this(), round = ++timer_round_,
+                           function](boost::system::error_code fault) {
+            const auto owner = self.lock();
+            if (!fault && owner && owner->timer_round_ == round)
+                function();
+        });
+    }
+
+    /// Also holds back a call that is already on its way.
+    auto stop_timer() -> void
+    {
+        ++timer_round_;
+        timer_.cancel();
+    }
+
     auto set_timeout(state::duration timeout) -> void
     {
         beast::get_lowest_layer(stream_).expires_after(timeout);
@@ -298,9 +328,19 @@
         }
         progress_.emplace();
         is_complete_ = false;
-        set_timeout(shared_->settings_.request_timeout_);
+        auto is_late = false;
+        // A timeout of the stream would close the socket, which is needed for the answer.
+        call_after(shared_->settings_.request_timeout_, [this, &is_late] {
+            is_late = true;
+            beast::get_lowest_layer(stream_).cancel();
+        });
         co_await beast::http::async_read(stream_, buffer_, parser,
                                          asio::redirect_error(use_awaitable, fault));
+        stop_timer();
+        if (fault && is_late) {
+            co_await reject(late_request_response());
+            co_return false;
+        }
         if (fault) {
             co_await reject_unreadable(fault);
             co_return false;
@@ -316,15 +356,17 @@
         const auto is_malformed = fault.category() == make_error_code(error::bad_method).category() &&
                                   fault != error::end_of_stream && fault != error::partial_message;
         if (!is_too_large && !is_malformed) {
-            const auto is_late = fault == beast::error::timeout;
-            end_by(is_late ? connection_side::instance : connection_side::caller,
-                   is_late ? "the request was not complete in time"
-                           : "the request is incomplete: " + fault.message());
+            end_by(connection_side::caller, "the request is incomplete: " + fault.message());
             co_return;
         }
         const auto kind = is_too_large ? state::error_kind::too_large : state::error_kind::invalid_request;
-        auto answer = problem_response({kind, "The request cannot be read: " + fault.message() + ".",
-                                        "Send a smaller request, or correct it."});
+        co_await reject(problem_response({kind, "The request cannot be read: " + fault.message() + ".",
+                                          "Send a smaller request, or correct it."}));
+    }
+
+    /// Answers a request that was not read to its end, and closes the connection.
+    auto reject(response answer) -> awaitable<void>
+    {
         answer.keep_alive(false);
         co_await write(to_wire(answer));
         is_complete_ = true;
@@ -396,6 +438,8 @@
     Stream stream_;
     std::shared_ptr<shared_state> shared_;
     beast::flat_buffer buffer_;
+    asio::steady_timer timer_;
+    std::uint64_t timer_round_{0};
     request request_;
     std::function<void()> on_disconnect_;
     std::optional<request_progress> progress_;
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -252,6 +252,22 @@
     open_until(9);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_that_was_late_got_no_answer)
+{
+    auto hasty = settings();
+    hasty.request_timeout_ = 100ms;
+    hasty.discard_timeout_ = 100ms;
+    auto server = running_server{hasty, answer_at_once};
+    for (const auto* part : {"GET / HT", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf"}) {
+        auto slow = caller{server.port()};
+        slow.send(part);
+        const auto answer = slow.read_all();
+        BOOST_TEST(status_of(answer) == "408");
+        BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+    }
+    BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(log_lines_about_callers_that_leave_filled_the_log)
 {
     auto budget = transport::logging::line_budget{2};
