--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <exception>
 
 namespace buckthorndale::services::front {
 
@@ -49,10 +50,12 @@
 
 } // namespace
 
-network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready)
-    : is_ready_{std::move(is_ready)}, client_{worker_.context(), http::client::endpoint_max_unacknowledged},
-      runner_{client_}, callers_{worker_.context(), caller_server_settings(settings),
-                                 [this](http::exchange& exchange) { return serve_caller(exchange); }},
+network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready,
+                               std::function<std::size_t()> decision_requests)
+    : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)},
+      client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_},
+      callers_{worker_.context(), caller_server_settings(settings),
+               [this](http::exchange& exchange) { return serve_caller(exchange); }},
       probes_{worker_.context(), probe_server_settings(settings),
               [this](http::exchange& exchange) { return serve_probe(exchange); }},
       stall_ticker_{worker_.context(), stall_check_interval, [this] { report_stalled_attempts(); }},
@@ -92,57 +95,88 @@
 {
     const auto path = http::split_target(exchange.message().target()).path_;
     if (path == "/metrics") {
-        co_await exchange.send(http::make_response(200, metrics_content_type, metrics_.page(calls_.size())));
+        co_await exchange.send(http::make_response(200, metrics_content_type, metrics_.page(load())));
         co_return;
     }
-    const auto is_ready = is_ready_();
+    // The load balancer sends new connections elsewhere before callers have to be refused.
+    const auto is_ready = is_ready_() && !callers_.is_crowded();
     co_await exchange.send(
         http::make_response(is_ready ? 200 : 503, text_content_type, is_ready ? "ready\n" : "not ready\n"));
 }
 
+auto network_worker::load() const -> network_load
+{
+    auto load =
+        network_load{.calls_ = calls_.size(), .attempts_ = attempts_.size(), .callers_ = callers_.counts()};
+    for (const auto& [handle, call] : calls_) {
+        if (call->is_decided_)
+            ++load.decided_calls_;
+        else if (call->has_sent_headers_)
+            ++load.streaming_calls_;
+    }
+    const auto undecided = load.calls_ - load.decided_calls_;
+    load.unknown_calls_ = undecided - std::min(undecided, decision_requests_());
+    return load;
+}
+
 auto network_worker::serve_caller(http::exchange& exchange) -> http::awaitable<void>
 {
     auto request = platform::read_request(exchange.message());
+    exchange.set_label("request=" + request.id_.text());
     last_handle_ = last_handle_.next();
     const auto handle = last_handle_;
     const auto call = std::make_shared<forwarded_call>(worker_.context(), handle, exchange.message());
     call->arrived_at_ = clock_.now();
     calls_.emplace(handle, call);
     open_calls_.store(calls_.size());
-    exchange.watch_for_disconnect([this, handle] { post_to_decision(caller_disconnected{handle}); });
-    post_to_decision(request_arrived{handle, std::move(request)});
-    auto has_failed = false;
+    exchange.watch_for_disconnect([this, handle] { end_call(handle); });
+    auto failure = std::exception_ptr{};
     try {
+        post_to_decision(request_arrived{handle, std::move(request)});
         co_await write_answer(exchange, *call);
-    } catch (const boost::system::system_error&) {
-        has_failed = true;
+    } catch (...) {
+        failure = std::current_exception();
     }
-    calls_.erase(handle);
+    end_call(handle);
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+auto network_worker::end_call(state::request_handle handle) -> void
+{
+    const auto found = calls_.find(handle);
+    if (found == calls_.end())
+        return;
+    const auto call = found->second;
+    calls_.erase(found);
     open_calls_.store(calls_.size());
-    if (has_failed) {
-        call->output_.close();
+    for (const auto& [attempt_handle, attempt] : call->attempts_)
+        stop_attempt(*attempt);
+    call->output_.close();
+    if (!call->is_decided_)
         post_to_decision(caller_disconnected{handle});
-        exchange.abort();
-    }
 }
 
 auto network_worker::write_answer(http::exchange& exchange, forwarded_call& call) -> http::awaitable<void>
 {
     while (true) {
         auto item = co_await call.output_.next();
-        if (auto* started = std::get_if<answer_started>(&item)) {
+        // The queue is closed when the caller has gone.
+        if (!item)
+            co_return;
+        if (auto* started = std::get_if<answer_started>(&*item)) {
             metrics_.record_first_event(clock_.now() - call.arrived_at_);
             co_await exchange.begin(std::move(started->headers_));
-        } else if (const auto* chunk = std::get_if<answer_chunk>(&item)) {
+        } else if (const auto* chunk = std::get_if<answer_chunk>(&*item)) {
             co_await exchange.send_chunk(chunk->bytes_);
-        } else if (auto* complete = std::get_if<complete_answer>(&item)) {
+        } else if (auto* complete = std::get_if<complete_answer>(&*item)) {
             co_await exchange.send(std::move(complete->answer_));
             co_return;
-        } else if (std::holds_alternative<answer_ended>(item)) {
+        } else if (std::holds_alternative<answer_ended>(*item)) {
             co_await exchange.end();
             co_return;
         } else {
-            exchange.abort();
+            exchange.abort(std::get<answer_aborted>(*item).reason_);
             co_return;
         }
     }
@@ -227,6 +261,7 @@
     const auto call = find_call(action.request_);
     if (!call)
         return;
+    call->is_decided_ = true;
     metrics_.record_answer(clock_.now() - call->arrived_at_);
     auto& answer = call->attempts_.at(action.attempt_)->answer_;
     if (!answer) {
@@ -243,9 +278,11 @@
     const auto call = find_call(action.request_);
     if (!call)
         return;
+    call->is_decided_ = true;
     metrics_.record_refusal(action.refusal_.kind_);
     if (call->has_sent_headers_)
-        call->output_.push(answer_aborted{});
+        call->output_.push(answer_aborted{std::string{state::to_string(action.refusal_.kind_)} + ": " +
+                                          action.refusal_.detail_});
     else
         call->output_.push(complete_answer{platform::refusal_response(action.refusal_)});
 }
