front: Follow the store into a new era after a restore

What callers saw: after the store had returned from an older copy, an instance answered 503 to keys that it did not know, kept withdrawn keys in force, and used neither new configurations nor new endpoints until the store's revisions had caught up, however long that took.

Cause: revisions alone were compared. A restored store gives them out again, so each listing looked older than what was known and was refused. Entries and roll-out steps that the copy lacked were never written again, a roll-out that was ordered again under another number was taken for a new one, which would expose a version that had been rolled back once more, and a conditional write could succeed on a revision that now meant another change. After 410 the store was read again without a pause.

Now the client of the store reads Store-Era from every response, and mirrors, watches, roll-out orders, steps and reports carry it. Positions compare by era first. An era that is new, from the store or from another instance, marks what was read before as lost, ends waiting watches, and lets the instance read again after a random pause and register again if the copy lacks it. Instances take nothing of an older era from each other, and confirm only objects of their own era; one of an older build states none, which counts as era 0. A finished roll-out whose record is gone is recorded again, and reported until it is. An order that the copy lacks holds until its service has one again. A step is written only after the object was read in the same era with the same revision.

--- a/libraries/coordination/forwarding/service_roll_outs.cpp
+++ b/libraries/coordination/forwarding/service_roll_outs.cpp
@@ -69,6 +69,13 @@
     return state == staged_roll_out_state::completed || state == staged_roll_out_state::rolled_back;
 }
 
+/// Numbers of creation compare within one era of the store only.
+auto is_same_order(const state::staged_roll_out& known, const state::staged_roll_out& read) -> bool
+{
+    const auto is_same_creation = known.era_ != read.era_ || known.created_ == read.created_;
+    return known.target_ == read.target_ && is_same_creation;
+}
+
 } // namespace
 
 auto service_roll_outs::update(const std::vector<state::staged_roll_out>& orders, state::time_point now)
@@ -76,15 +83,14 @@
 {
     auto kept = std::map<state::service_name, progress>{};
     for (const auto& order : orders) {
-        auto item = progress{.order_ = order, .began_ = now, .seen_at_ = now};
+        auto item = progress{.order_ = order, .recorded_ = order.state_, .began_ = now, .seen_at_ = now};
         const auto known = services_.find(order.service_);
-        if (known != services_.end() && known->second.order_.created_ == order.created_ &&
-            known->second.order_.target_ == order.target_) {
+        if (known != services_.end() && is_same_order(known->second.order_, order)) {
             item.began_ = known->second.began_;
             item.seen_at_ = known->second.seen_at_;
             item.is_halted_ = known->second.is_halted_;
             // A finished roll-out stays finished even if a stale copy of its record is read.
-            if (is_over(known->second.order_.state_))
+            if (is_over(known->second.order_.state_) && !is_over(order.state_))
                 item.order_.state_ = known->second.order_.state_;
         }
         kept.emplace(order.service_, std::move(item));
@@ -115,6 +121,10 @@
         const auto found = services_.find(age.service_);
         if (found == services_.end() || found->second.order_.created_ != age.created_)
             continue;
+        const auto& own_era = found->second.order_.era_;
+        const auto are_eras_known = age.era_ != state::store_era{} && own_era != state::store_era{};
+        if (are_eras_known && own_era != age.era_)
+            continue;
         found->second.began_ = std::min(found->second.began_, now - age.age_);
         found->second.is_halted_ = found->second.is_halted_ || age.is_halted_;
     }
@@ -122,8 +132,7 @@
 
 auto service_roll_outs::is_running() const -> bool
 {
-    return std::ranges::any_of(services_,
-                               [](const auto& item) { return !is_over(item.second.order_.state_); });
+    return std::ranges::any_of(services_, [](const auto& item) { return !is_over(item.second.recorded_); });
 }
 
 auto service_roll_outs::report(report_scope scope, state::incarnation life, state::time_point now) const
@@ -132,12 +141,14 @@
     auto result = roll_out_report{.life_ = life};
     const auto counted = sum_counts(scope, now);
     for (const auto& [service, item] : services_) {
-        if (is_over(item.order_.state_))
+        if (is_over(item.recorded_))
             continue;
+        const auto is_rolled_back = item.order_.state_ == staged_roll_out_state::rolled_back;
         result.ages_.push_back({.service_ = service,
+                                .era_ = item.order_.era_,
                                 .created_ = item.order_.created_,
                                 .age_ = now - item.began_,
-                                .is_halted_ = item.is_halted_});
+                                .is_halted_ = item.is_halted_ || is_rolled_back});
         for (const auto& [key, counts] : counted) {
             if (key.service_ == service)
                 result.counts_.push_back({key, counts});
@@ -304,21 +315,23 @@
 {
     auto wanted = std::vector<roll_out_step>{};
     for (const auto& [service, item] : services_) {
-        if (is_over(item.order_.state_))
+        if (is_over(item.recorded_))
             continue;
         auto state = staged_roll_out_state::running;
-        if (item.is_halted_)
+        if (is_over(item.order_.state_))
+            state = item.order_.state_;
+        else if (item.is_halted_)
             state = staged_roll_out_state::rolled_back;
         else if (share_of(item, now) >= 1.0 && now - item.seen_at_ >= min_observation_time &&
                  now - item.began_ >=
                      state::duration{static_cast<state::duration::rep>(
                          static_cast<double>(item.order_.time_allowed_.count()) * completion_part)})
             state = staged_roll_out_state::completed;
-        if (state != item.order_.state_)
+        if (state != item.recorded_)
             wanted.push_back({.service_ = service,
                               .target_ = item.order_.target_,
                               .state_ = state,
-                              .revision_ = item.order_.revision_});
+                              .position_ = {.era_ = item.order_.era_, .revision_ = item.order_.revision_}});
     }
     return wanted;
 }
--- a/libraries/coordination/forwarding/service_roll_outs.hpp
+++ b/libraries/coordination/forwarding/service_roll_outs.hpp
@@ -6,6 +6,7 @@
 #include "state/identifiers.hpp"
 #include "state/registered_endpoint.hpp"
 #include "state/staged_roll_out.hpp"
+#include "state/store_position.hpp"
 #include "state/units.hpp"
 
 #include <cstddef>
@@ -37,6 +38,8 @@
 /// How long a router has known an order, and whether it has found the new version worse.
 struct roll_out_age {
     state::service_name service_;
+    /// The era that `created_` belongs to; 0 in reports of older builds.
+    state::store_era era_;
     std::uint64_t created_{0};
     state::duration age_{0};
     bool is_halted_{false};
@@ -55,8 +58,8 @@
     state::service_name service_;
     state::version_name target_;
     state::staged_roll_out_state state_{state::staged_roll_out_state::running};
-    /// The revision of the record that the step is based on.
-    std::uint64_t revision_{0};
+    /// The position of the record that the step is based on.
+    state::store_position position_;
 
     auto operator==(const roll_out_step&) const -> bool = default;
 };
@@ -66,7 +69,8 @@
 /// is recorded by the first router that writes it.
 class service_roll_outs {
 public:
-    /// Replaces the roll-out orders with those in the store.
+    /// Replaces the roll-out orders with those in the store. An order keeps its progress when it is read in
+    /// another era of the store, where it may have been written again and may lack its last steps.
     auto update(const std::vector<state::staged_roll_out>& orders, state::time_point now) -> void;
 
     /// Records the number of endpoints of each service. The larger it is, the smaller the first share of a
@@ -108,6 +112,8 @@
 private:
     struct progress {
         state::staged_roll_out order_;
+        /// The state in the store's record. A restored store may have an earlier one than the order's.
+        state::staged_roll_out_state recorded_{state::staged_roll_out_state::ordered};
         state::time_point began_;
         /// When this process first saw the order; soon after that it has received few reports.
         state::time_point seen_at_;
--- a/libraries/coordination/membership/store_watchers.cpp
+++ b/libraries/coordination/membership/store_watchers.cpp
@@ -14,6 +14,16 @@
     instances_.insert(self_);
 }
 
+auto store_watchers::add(const std::vector<listed_instance>& instances) -> void
+{
+    for (const auto& item : instances) {
+        std::erase_if(instances_, [&](const auto& known) { return known.id_ == item.id_; });
+        instances_.insert(item);
+    }
+    std::erase_if(instances_, [this](const auto& item) { return item.id_ == self_.id_; });
+    instances_.insert(self_);
+}
+
 auto store_watchers::watchers_of(const state::data_centre_id& data_centre) const
     -> std::vector<listed_instance>
 {
--- a/libraries/coordination/membership/store_watchers.hpp
+++ b/libraries/coordination/membership/store_watchers.hpp
@@ -33,6 +33,9 @@
     /// Replaces the list of instances; this instance is added if it is missing.
     auto update(const std::vector<listed_instance>& instances) -> void;
 
+    /// Adds to the list of instances.
+    auto add(const std::vector<listed_instance>& instances) -> void;
+
     auto is_watcher() const -> bool;
 
     /// The other watchers of this data centre, in the order in which to ask them.
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -94,6 +94,12 @@
     return work;
 }
 
+/// Older builds send no era.
+auto read_era(json::object_reader& reader) -> state::store_era
+{
+    return state::store_era{reader.has("era") ? reader.number("era") : 0};
+}
+
 } // namespace
 
 auto to_text(const peer_message& message) -> std::string
@@ -107,6 +113,7 @@
     for (const auto& item : message.roll_outs_.ages_) {
         auto age = Json::Value{Json::objectValue};
         age["service"] = item.service_.text();
+        age["era"] = std::to_string(item.era_.value());
         age["created"] = std::to_string(item.created_);
         age["age_us"] = Json::Int64{item.age_.count()};
         age["is_halted"] = item.is_halted_;
@@ -134,6 +141,7 @@
         read_counts(item, message.roll_outs_.counts_);
     for (auto& item : reader.children("ages"))
         message.roll_outs_.ages_.push_back({.service_ = state::service_name{item.text("service")},
+                                            .era_ = read_era(item),
                                             .created_ = item.number("created"),
                                             .age_ = state::duration{item.integer("age_us", 0, max_value)},
                                             .is_halted_ = item.boolean_or("is_halted", false)});
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -30,8 +30,14 @@
 
 } // namespace
 
+auto text_of(state::store_position position) -> std::string
+{
+    return "era=" + std::to_string(position.era_.value()) + " revision=" + std::to_string(position.revision_);
+}
+
 control_worker::control_worker(const front_settings& settings)
-    : settings_{settings}, client_{worker_.context()}, store_{client_, settings.store_address_},
+    : settings_{settings}, client_{worker_.context()},
+      store_{client_, settings.store_address_, [this](state::store_era era) { learn_era(era); }},
       control_server_{worker_.context(), http::server_settings{.address_ = settings.control_address_},
                       [this](http::exchange& exchange) { return serve_peer(exchange); }},
       peers_{worker_.context(), settings,
@@ -42,12 +48,12 @@
                  .data_centre_ = settings.data_centre_,
                  .control_ = settings.control_address_,
                  .link_mbps_ = settings.link_mbps_}},
-      fallback_{clock_.now()}, updates_{worker_.context()},
-      configuration_{.mirror_ = object_mirror{std::string{platform::kind::configuration}},
+      fallback_{clock_.now()}, restores_{worker_.context()}, updates_{worker_.context()},
+      configuration_{.mirror_ = platform::object_mirror{std::string{platform::kind::configuration}},
                      .on_change_ = [this] { apply_configuration(); }},
-      endpoints_{.mirror_ = object_mirror{std::string{platform::kind::endpoints}},
+      endpoints_{.mirror_ = platform::object_mirror{std::string{platform::kind::endpoints}},
                  .on_change_ = [this] { apply_endpoints(); }},
-      roll_outs_{.mirror_ = object_mirror{std::string{platform::kind::roll_outs}},
+      roll_outs_{.mirror_ = platform::object_mirror{std::string{platform::kind::roll_outs}},
                  .on_change_ = [this] { apply_roll_outs(); }},
       directory_timer_{worker_.context()},
       from_decision_{ring_capacity, worker_.context(), [this](control_action& action) { perform(action); }}
@@ -96,6 +102,12 @@
     co_await timer.async_wait(http::asio::use_awaitable);
 }
 
+auto control_worker::draw() -> double
+{
+    constexpr auto steps = std::uint64_t{1'000'000};
+    return static_cast<double>(random_.next() % steps) / static_cast<double>(steps);
+}
+
 auto control_worker::kinds() const -> std::vector<const followed_kind*>
 {
     return {&configuration_, &endpoints_, &roll_outs_};
@@ -148,9 +160,15 @@
 {
     const auto now = clock_.now();
     auto current = directory_.current(now);
-    log_.info("endpoints in force revision=" + std::to_string(endpoints_.mirror_.revision()) +
+    log_.info("endpoints in force " + text_of(endpoints_.mirror_.position()) +
               " count=" + std::to_string(current.size()));
     post_to_decision(endpoints_published{std::move(current)});
+    schedule_endpoint_expiry();
+}
+
+auto control_worker::schedule_endpoint_expiry() -> void
+{
+    const auto now = clock_.now();
     const auto next = directory_.next_expiry(now);
     if (!next)
         return;
@@ -167,16 +185,18 @@
     for (const auto& [name, object] : roll_outs_.mirror_.objects()) {
         try {
             roll_outs.push_back(platform::read_roll_out(object));
-            const auto& roll_out = roll_outs.back();
+            auto& roll_out = roll_outs.back();
+            roll_out.era_ = roll_outs_.mirror_.position().era_;
             log_.info("roll-out seen service=" + roll_out.service_.text() +
                       " target=" + roll_out.target_.text() +
-                      " state=" + std::to_string(static_cast<int>(roll_out.state_)) +
-                      " revision=" + std::to_string(roll_out.revision_));
+                      " state=" + std::to_string(static_cast<int>(roll_out.state_)) + " " +
+                      text_of({.era_ = roll_out.era_, .revision_ = roll_out.revision_}));
         } catch (const state::error& fault) {
             log_.warn("invalid roll-out skipped name=" + name + " reason=\"" + fault.what() + "\"");
         }
     }
-    post_to_decision(roll_outs_published{std::move(roll_outs)});
+    orders_.list(roll_outs, roll_outs_.mirror_.position().era_);
+    post_to_decision(roll_outs_published{orders_.current()});
 }
 
 auto control_worker::perform(control_action& action) -> void
@@ -210,19 +230,22 @@
 auto control_worker::record_step(forwarding::roll_out_step step) -> http::awaitable<void>
 {
     const auto delay_steps =
-        state::stable_hash(settings_.instance_.text(), step.revision_) % recording_delay_steps;
+        state::stable_hash(settings_.instance_.text(), step.position_.revision_) % recording_delay_steps;
     co_await sleep(recording_delay_step * static_cast<std::int64_t>(delay_steps));
     const auto& objects = roll_outs_.mirror_.objects();
     const auto found = objects.find(step.service_.text());
     auto roll_out = state::staged_roll_out{};
     if (found != objects.end())
         roll_out = platform::read_roll_out(found->second);
-    if (found != objects.end() && roll_out.revision_ == step.revision_) {
+    const auto is_current = !roll_outs_.is_lost_ &&
+                            roll_outs_.mirror_.position().era_ == step.position_.era_ &&
+                            roll_out.revision_ == step.position_.revision_;
+    if (found != objects.end() && is_current) {
         const auto log_fields = "service=" + step.service_.text() + " target=" + step.target_.text() +
-                                " state=" + std::to_string(static_cast<int>(step.state_)) +
-                                " revision=" + std::to_string(step.revision_);
+                                " state=" + std::to_string(static_cast<int>(step.state_)) + " " +
+                                text_of(step.position_);
         try {
-            co_await store_.replace_status(platform::kind::roll_outs, step.service_.text(), step.revision_,
+            co_await store_.replace_status(platform::kind::roll_outs, step.service_.text(), step.position_,
                                            platform::roll_out_status(roll_out, step.state_));
             log_.info("roll-out recorded " + log_fields);
         } catch (const store_error& fault) {
--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "coordination/forwarding/endpoint_directory.hpp"
+#include "coordination/forwarding/roll_out_directory.hpp"
 #include "coordination/membership/store_fallback.hpp"
+#include "coordination/membership/store_read_pacing.hpp"
 #include "coordination/membership/store_watchers.hpp"
 #include "front/events.hpp"
 #include "front/front_settings.hpp"
-#include "front/object_mirror.hpp"
 #include "front/peer_link.hpp"
+#include "platform/object_mirror.hpp"
 #include "platform/store_client.hpp"
 #include "transport/http/client.hpp"
 #include "transport/http/server.hpp"
@@ -17,12 +19,18 @@
 #include "transport/ring/notifier.hpp"
 #include "transport/worker/worker.hpp"
 
+#include <boost/asio/cancellation_signal.hpp>
+
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 
 namespace buckthorndale::services::front {
 
+/// The position as fields of a log line.
+auto text_of(state::store_position position) -> std::string;
+
 /// Follows the platform's store, records roll-out steps there, and communicates with the other instances, all
 /// on its own thread.
 class control_worker {
@@ -46,12 +54,15 @@
 private:
     /// State of following one kind of object.
     struct followed_kind {
-        object_mirror mirror_;
+        platform::object_mirror mirror_;
         std::function<void()> on_change_;
         bool is_lost_{true};
         state::time_point lost_since_{};
         /// The watcher that was queried last.
         std::optional<state::network_address> watcher_;
+        /// Ends the watch of the store that is waiting, if any.
+        std::unique_ptr<boost::asio::cancellation_signal> watch_end_{
+            std::make_unique<boost::asio::cancellation_signal>()};
     };
 
     auto follow_store(followed_kind& kind) -> transport::http::awaitable<void>;
@@ -68,10 +79,16 @@
     auto check_store() -> transport::http::awaitable<void>;
     auto try_watching_store() -> transport::http::awaitable<void>;
 
+    /// Takes the era from an answer of the store or of another instance. What was read in an earlier era must
+    /// be read again.
+    auto learn_era(state::store_era era) -> void;
+
     auto watches_store() const -> bool { return watchers_.is_watcher() || clock_.now() < watches_until_; }
 
     auto is_fresh() const -> bool;
     auto follow_store_until_fault(followed_kind& kind) -> transport::http::awaitable<void>;
+    /// Watches the store like store_client::watch(), but fails when learn_era() ends the watch.
+    auto watch_until_restore(followed_kind& kind) -> transport::http::awaitable<platform::object_changes>;
     /// Processes changed objects and wakes the requests of instances that wait for changes.
     auto apply_changes(followed_kind& kind) -> void;
     auto mark_regained(followed_kind& kind) -> void;
@@ -79,8 +96,12 @@
     auto apply_configuration() -> void;
     auto apply_endpoints() -> void;
     auto publish_endpoints() -> void;
+    auto schedule_endpoint_expiry() -> void;
     auto apply_roll_outs() -> void;
+    auto instance_spec() const -> Json::Value;
     auto register_instance() -> transport::http::awaitable<void>;
+    /// Registers this instance if the listing of instances lacks it.
+    auto register_again(const platform::object_listing& listing) -> transport::http::awaitable<void>;
     auto follow_instances() -> transport::http::awaitable<void>;
     auto poll_peers_in_outage() -> transport::http::awaitable<void>;
     /// Reads the objects of one kind from another instance, which delays its answer for up to the given time
@@ -92,6 +113,8 @@
     auto send_reports(const report_by_scope& reports) -> void;
     auto record_step(forwarding::roll_out_step step) -> transport::http::awaitable<void>;
     auto sleep(state::duration time) -> transport::http::awaitable<void>;
+    /// A random number from 0 to 1.
+    auto draw() -> double;
     auto post_to_decision(control_event event) -> void;
     auto kinds() -> std::vector<followed_kind*>;
     auto kinds() const -> std::vector<const followed_kind*>;
@@ -111,6 +134,10 @@
     state::time_point watches_until_{};
     coordination::membership::store_fallback fallback_;
     bool are_instances_known_{false};
+    /// The newest known era; 0 until the first.
+    state::store_era era_;
+    /// Wakes the registration of this instance when the store was restored.
+    transport::ring::notifier restores_;
     bool is_store_reachable_{true};
     /// Wakes waiting requests of followers when objects change or the store's reachability does.
     transport::ring::notifier updates_;
@@ -118,6 +145,7 @@
     followed_kind endpoints_;
     followed_kind roll_outs_;
     forwarding::endpoint_directory directory_;
+    forwarding::roll_out_directory orders_;
     boost::asio::steady_timer directory_timer_;
     state::generation generation_;
     /// Services with a roll-out step that is being recorded.
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -9,6 +9,10 @@
 #include "state/error.hpp"
 #include "transport/http/query.hpp"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <algorithm>
 
 namespace buckthorndale::services::front {
@@ -23,11 +27,6 @@
 constexpr auto watch_timeout = state::duration{std::chrono::seconds{15}};
 /// Changes within this time are fetched together.
 constexpr auto batching_delay = state::duration{std::chrono::milliseconds{100}};
-constexpr auto min_retry_delay = state::duration{std::chrono::milliseconds{150}};
-/// Calls are paid even when they are refused, but changes must be in force within two seconds of the store's
-/// recovery.
-constexpr auto max_retry_delay = state::duration{std::chrono::milliseconds{700}};
-constexpr auto retry_jitter = std::uint64_t{150'000};
 /// Interval at which a loop that must not read the store checks whether it may.
 constexpr auto poll_interval = state::duration{std::chrono::milliseconds{50}};
 /// How long a watcher delays its answer to a follower while there are no updates. A watcher that takes
@@ -45,12 +44,6 @@
 constexpr auto own_watch_duration = state::duration{std::chrono::seconds{10}};
 /// Pause between attempts to reach the store while no watcher reaches it.
 constexpr auto store_retry_interval = state::duration{std::chrono::milliseconds{1200}};
-/// How often the list of instances is read. The second read follows sooner, since others register meanwhile.
-constexpr auto instances_interval = state::duration{std::chrono::seconds{10}};
-constexpr auto first_instances_interval = state::duration{std::chrono::seconds{2}};
-/// Pause after registration until the others have registered too; all instances of a deployment start within
-/// 0.3 s of each other.
-constexpr auto registration_delay = state::duration{std::chrono::milliseconds{500}};
 /// An instance that cannot read the list of instances within this time continues without it.
 constexpr auto instances_timeout = state::duration{std::chrono::milliseconds{1000}};
 /// When the store is unreachable for longer than this, the instance reads from others.
@@ -66,27 +59,32 @@
 constexpr auto freshness_header = "Hears-Store";
 constexpr auto is_fresh_text = "1";
 
-auto parse_instances(const platform::object_listing& listing)
-    -> std::vector<coordination::membership::listed_instance>
-{
-    auto instances = std::vector<coordination::membership::listed_instance>{};
-    for (const auto& object : listing.objects_) {
-        const auto& spec = object["spec"];
-        if (!spec["control"].isString() || !spec["data_centre"].isString())
-            continue;
-        instances.push_back({.id_ = state::instance_id{platform::read_metadata(object).name_},
-                             .data_centre_ = state::data_centre_id{spec["data_centre"].asString()},
-                             .control_ = state::network_address_from_text(spec["control"].asString()),
-                             .link_mbps_ = spec["link_mbps"].isInt64() ? spec["link_mbps"].asInt64() : 0});
-    }
-    return instances;
-}
-
 } // namespace
 
 auto control_worker::is_fresh() const -> bool
 {
-    return std::ranges::none_of(kinds(), [](const followed_kind* kind) { return kind->is_lost_; });
+    return std::ranges::none_of(kinds(), [this](const followed_kind* kind) {
+        return kind->is_lost_ || kind->mirror_.position().era_ != era_;
+    });
+}
+
+auto control_worker::learn_era(state::store_era era) -> void
+{
+    if (era <= era_)
+        return;
+    log_.info("store era=" + std::to_string(era.value()) + " known=" + std::to_string(era_.value()));
+    const auto is_restored = std::exchange(era_, era) != state::store_era{};
+    for (auto* kind : kinds()) {
+        const auto position = kind->mirror_.position();
+        if (position.revision_ == 0 || position.era_ == era)
+            continue;
+        mark_lost(*kind, "the store was restored from a copy");
+        kind->watch_end_->emit(http::asio::cancellation_type::terminal);
+    }
+    if (!is_restored)
+        return;
+    directory_.mark_store_restored(clock_.now());
+    restores_.notify_all();
 }
 
 auto control_worker::check_store() -> http::awaitable<void>
@@ -117,7 +115,7 @@
 auto control_worker::follow_store(followed_kind& kind) -> http::awaitable<void>
 {
     const auto started_at = clock_.now();
-    auto retry_delay = min_retry_delay;
+    auto pacing = coordination::membership::store_read_pacing{};
     while (true) {
         const auto may_begin = are_instances_known_ || clock_.now() - started_at > instances_timeout;
         // While the store is unreachable, only the configuration is retried, to save calls.
@@ -126,22 +124,16 @@
             co_await sleep(poll_interval);
             continue;
         }
-        auto fault = std::optional<store_fault>{};
+        auto has_failed = false;
         try {
             co_await follow_store_until_fault(kind);
         } catch (const store_error& caught) {
-            fault = caught.fault();
-            if (fault != store_fault::history_gone)
+            has_failed = true;
+            if (caught.fault() != store_fault::history_gone)
                 mark_lost(kind, caught.what());
         }
-        if (!fault || fault == store_fault::history_gone)
-            continue;
-        // The backoff restarts when the store was followed for a while before this failure.
-        retry_delay = clock_.now() - kind.lost_since_ < max_retry_delay
-                          ? min_retry_delay
-                          : std::min(retry_delay * 2, max_retry_delay);
-        co_await sleep(retry_delay +
-                       state::duration{static_cast<std::int64_t>(random_.next() % retry_jitter)});
+        if (has_failed)
+            co_await sleep(pacing.pause(clock_.now(), draw()));
     }
 }
 
@@ -214,28 +206,41 @@
 {
     auto& mirror = kind.mirror_;
     const auto listing = co_await store_.list(mirror.kind(), platform::read_consistency::latest);
+    if (listing.position_.era_ < era_ || !mirror.replace(listing))
+        throw store_error{store_fault::no_response, "the store's listing is older than the known position"};
     mark_regained(kind);
-    if (!mirror.replace(listing))
-        throw store_error{store_fault::no_response, "the store's listing is older than the known revision"};
     apply_changes(kind);
     while (watches_store()) {
-        const auto changes = co_await store_.watch(mirror.kind(), mirror.revision(), watch_timeout);
-        mirror.apply(changes);
+        const auto changes = co_await watch_until_restore(kind);
+        // The era may also be learned from another answer while changes are applied.
+        if (!mirror.apply(changes) || kind.is_lost_)
+            throw store_error{store_fault::history_gone, "the store was restored while it was watched"};
         if (changes.changes_.empty())
             continue;
         apply_changes(kind);
         co_await sleep(batching_delay);
+        if (kind.is_lost_)
+            throw store_error{store_fault::history_gone, "the store was restored while it was watched"};
     }
 }
 
+auto control_worker::watch_until_restore(followed_kind& kind) -> http::awaitable<platform::object_changes>
+{
+    auto watch = store_.watch(kind.mirror_.kind(), kind.mirror_.position(), watch_timeout);
+    co_return co_await http::asio::co_spawn(
+        worker_.context(), std::move(watch),
+        http::asio::bind_cancellation_slot(kind.watch_end_->slot(), http::asio::use_awaitable));
+}
+
 auto control_worker::mark_regained(followed_kind& kind) -> void
 {
     if (!std::exchange(kind.is_lost_, false))
         return;
-    log_.info("store regained kind=" + kind.mirror_.kind() +
-              " revision=" + std::to_string(kind.mirror_.revision()));
-    if (&kind == &endpoints_)
+    log_.info("store regained kind=" + kind.mirror_.kind() + " " + text_of(kind.mirror_.position()));
+    if (&kind == &endpoints_) {
         directory_.mark_store_available(clock_.now());
+        schedule_endpoint_expiry();
+    }
     if (&kind == &configuration_)
         post_to_decision(freshness_changed{true});
 }
@@ -245,8 +250,8 @@
     if (std::exchange(kind.is_lost_, true))
         return;
     kind.lost_since_ = clock_.now();
-    log_.warn("store lost kind=" + kind.mirror_.kind() +
-              " revision=" + std::to_string(kind.mirror_.revision()) + " reason=\"" + reason + "\"");
+    log_.warn("store lost kind=" + kind.mirror_.kind() + " " + text_of(kind.mirror_.position()) +
+              " reason=\"" + reason + "\"");
     if (&kind == &endpoints_)
         directory_.mark_store_unavailable();
     if (&kind == &configuration_)
@@ -260,50 +265,6 @@
     updates_.notify_all();
 }
 
-auto control_worker::register_instance() -> http::awaitable<void>
-{
-    auto spec = Json::Value{Json::objectValue};
-    spec["control"] = settings_.control_address_.text();
-    spec["data_centre"] = settings_.data_centre_.text();
-    spec["link_mbps"] = Json::Int64{settings_.link_mbps_};
-    auto is_known = false;
-    try {
-        co_await store_.create(platform::kind::instances, settings_.instance_.text(), spec);
-    } catch (const store_error& fault) {
-        if (fault.fault() != store_fault::conflict)
-            throw;
-        is_known = true;
-    }
-    // An instance that restarts under its name may have another address.
-    if (!is_known)
-        co_await sleep(registration_delay);
-    else
-        co_await store_.replace(platform::kind::instances, settings_.instance_.text(), spec);
-}
-
-auto control_worker::follow_instances() -> http::awaitable<void>
-{
-    auto is_registered = false;
-    auto is_first = true;
-    while (true) {
-        try {
-            if (!is_registered)
-                co_await register_instance();
-            is_registered = true;
-            const auto listing =
-                co_await store_.list(platform::kind::instances, platform::read_consistency::may_be_stale);
-            watchers_.update(parse_instances(listing));
-            peers_.set_peers(watchers_.others());
-            are_instances_known_ = true;
-        } catch (const store_error& fault) {
-            log_.warn(std::string{"list of instances could not be read reason=\""} + fault.what() + "\"");
-        } catch (const state::error& fault) {
-            log_.warn(std::string{"list of instances is invalid reason=\""} + fault.what() + "\"");
-        }
-        co_await sleep(std::exchange(is_first, false) ? first_instances_interval : instances_interval);
-    }
-}
-
 auto control_worker::poll_peers_in_outage() -> http::awaitable<void>
 {
     while (true) {
@@ -335,20 +296,27 @@
 {
     auto& mirror = kind.mirror_;
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(wait_timeout).count();
-    const auto target = std::string{objects_path} + mirror.kind() +
-                        "?since=" + std::to_string(mirror.revision()) + "&wait_ms=" + std::to_string(wait);
+    const auto target =
+        std::string{objects_path} + mirror.kind() + "?since=" + std::to_string(mirror.position().revision_) +
+        "&era=" + std::to_string(mirror.position().era_.value()) + "&wait_ms=" + std::to_string(wait);
     auto message = http::request{http::beast::http::verb::get, target, 11};
     const auto answer = co_await client_.fetch(peer, std::move(message),
                                                {.first_byte_ = wait_timeout + watcher_response_margin});
+    // Instances of older builds state no era: once one is known, they confirm nothing.
+    const auto peer_era = platform::read_store_era(answer);
+    learn_era(peer_era);
     if (answer.result_int() == listing_status) {
-        const auto listing = decompress_listing(answer.body());
-        if (listing.revision_ > mirror.revision() && mirror.replace(listing)) {
-            log_.debug("objects taken from instance address=" + peer.text() + " kind=" + mirror.kind() +
-                       " revision=" + std::to_string(listing.revision_));
+        const auto listing = platform::decompress_listing(answer.body());
+        const auto is_newer = listing.position_.era_ >= era_ && listing.position_ > mirror.position();
+        if (is_newer && mirror.replace(listing)) {
+            log_.debug("objects taken from instance address=" + peer.text() + " kind=" + mirror.kind() + " " +
+                       text_of(listing.position_));
             apply_changes(kind);
         }
     }
-    co_return answer[freshness_header] == is_fresh_text;
+    const auto is_same_era = peer_era == era_ && mirror.position().era_ == era_;
+    const auto is_fresh_at_peer = answer[freshness_header] == is_fresh_text;
+    co_return is_same_era&& is_fresh_at_peer;
 }
 
 auto control_worker::serve_peer(http::exchange& exchange) -> http::awaitable<void>
@@ -361,17 +329,29 @@
         co_await exchange.send(http::make_response(unknown_kind_status, listing_content_type, ""));
         co_return;
     }
-    const auto since = http::query_number(target.query_, "since", 0);
+    const auto since =
+        state::store_position{.era_ = state::store_era{http::query_number(target.query_, "era", 0)},
+                              .revision_ = http::query_number(target.query_, "since", 0)};
+    // An instance of an older build states no era and compares revisions alone.
+    const auto is_older_build = http::query_text(target.query_, "era").empty();
+    learn_era(since.era_);
     const auto wait = std::chrono::milliseconds{http::query_number(target.query_, "wait_ms", 0)};
     const auto deadline = clock_.now() + std::min<state::duration>(wait, max_watcher_wait);
-    const auto is_confirmed = [this] { return is_fresh() && is_store_reachable_; };
-    const auto has_updates = [&] { return kind->mirror_.changed_at() > since; };
+    const auto is_confirmed = [&] {
+        const auto is_ahead = is_older_build && since.revision_ > kind->mirror_.position().revision_;
+        return is_fresh() && is_store_reachable_ && !is_ahead;
+    };
+    const auto has_updates = [&] {
+        const auto changed_at = kind->mirror_.changed_at();
+        return is_older_build ? changed_at.revision_ > since.revision_ : changed_at > since;
+    };
     while (!has_updates() && is_confirmed() && clock_.now() < deadline)
         co_await updates_.wait(deadline - clock_.now());
     auto answer = has_updates() ? http::make_response(listing_status, listing_content_type,
                                                       kind->mirror_.compressed_listing())
                                 : http::make_response(no_update_status, listing_content_type, "");
     answer.set(freshness_header, is_confirmed() ? is_fresh_text : "0");
+    answer.set(platform::header::store_era, std::to_string(era_.value()));
     co_await exchange.send(std::move(answer));
 }
 
--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -25,6 +25,7 @@
                                                 .endpoint_group_ = 3},
                                        .counts_ = {.good_ = 7, .bad_ = 2}}},
                           .ages_ = {{.service_ = state::service_name{"advisor"},
+                                     .era_ = state::store_era{3},
                                      .created_ = 41,
                                      .age_ = std::chrono::milliseconds{1500},
                                      .is_halted_ = true}}};
@@ -50,11 +51,20 @@
     BOOST_TEST(received.roll_outs_.counts_.front().counts_.bad_ == 2);
     BOOST_REQUIRE(received.roll_outs_.ages_.size() == 1U);
     BOOST_TEST(received.roll_outs_.ages_.front().is_halted_);
+    BOOST_TEST(received.roll_outs_.ages_.front().era_.value() == 3U);
     BOOST_REQUIRE(received.crashes_.size() == 1U);
     BOOST_TEST((received.crashes_.front().content_ == sent.crashes_.front().content_));
     BOOST_TEST((received.work_ == sent.work_));
 }
 
+BOOST_AUTO_TEST_CASE(a_report_of_an_older_build_has_an_unknown_era)
+{
+    const auto received = peer_message_from_text(R"({ "from": "front-1", "life": "1", "scope": 0,
+        "ages": [ { "service": "advisor", "created": "41", "age_us": 5, "is_halted": false } ] })");
+    BOOST_REQUIRE(received.roll_outs_.ages_.size() == 1U);
+    BOOST_TEST(received.roll_outs_.ages_.front().era_.value() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(absent_work_differs_from_empty_work)
 {
     auto message = sample_message();
