http: Notice that a caller left while bytes of its next request lie unread

A caller that sent a second request behind the first, or any other bytes, and then left was not noticed: check_for_disconnect() stopped watching as soon as bytes were there. A stream to it ran on until a write failed, and a call that was still waiting kept its connection and its attempt until its deadline.

The watch now asks poll() for the end of the caller's side, which is visible with bytes unread as well. While bytes lie there it asks again every 100 ms, since waiting for input would end at once. At most one wait is pending for each connection.

The test failed before the fix: the connection stayed open, and no incomplete answer was counted.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -51,6 +52,9 @@
 /// When callers that were refused may come again.
 constexpr auto refusal_retry_after = "1";
 
+/// Interval at which a caller's connection is checked while bytes of its next request lie unread.
+constexpr auto unread_check_interval = state::duration{std::chrono::milliseconds{100}};
+
 /// Bytes read at a time while the rest of a rejected request is discarded.
 constexpr auto discard_size = std::size_t{16'384};
 
@@ -120,6 +124,7 @@
             report_incomplete_answer();
         // A pending wait for the caller's disconnect shares ownership of the connection and ends here.
         on_disconnect_ = {};
+        stop_timer();
         close();
         if (failure)
             std::rethrow_exception(failure);
@@ -193,10 +198,7 @@
         on_disconnect_ = std::move(on_disconnect);
         // No timeout while waiting; each write of the response sets its own.
         beast::get_lowest_layer(stream_).expires_never();
-        auto self = this->shared_from_this();
-        beast::get_lowest_layer(stream_).socket().async_wait(
-            asio::ip::tcp::socket::wait_read,
-            [self](boost::system::error_code fault) { self->check_for_disconnect(fault); });
+        wait_for_input();
     }
 
 private:
@@ -264,17 +266,35 @@
         }
     }
 
-    auto check_for_disconnect(boost::system::error_code fault) -> void
+    auto wait_for_input() -> void
+    {
+        if (std::exchange(is_waiting_for_input_, true))
+            return;
+        auto self = this->shared_from_this();
+        beast::get_lowest_layer(stream_).socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                                             [self](boost::system::error_code fault) {
+                                                                 self->is_waiting_for_input_ = false;
+                                                                 if (!fault)
+                                                                     self->check_for_disconnect();
+                                                             });
+    }
+
+    auto check_for_disconnect() -> void
     {
-        if (fault || !on_disconnect_)
+        if (!on_disconnect_)
             return;
-        auto byte = char{};
-        const auto received = ::recv(beast::get_lowest_layer(stream_).socket().native_handle(), &byte, 1,
-                                     MSG_PEEK | MSG_DONTWAIT);
-        const auto has_bytes = received > 0;
-        const auto is_open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (has_bytes || is_open)
+        auto status = ::pollfd{.fd = beast::get_lowest_layer(stream_).socket().native_handle(),
+                               .events = POLLIN | POLLRDHUP};
+        ::poll(&status, 1, 0);
+        const auto events = static_cast<unsigned>(status.revents);
+        if ((events & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+            // Waiting for input would end at once while bytes of the next request lie unread.
+            if ((events & POLLIN) == 0)
+                wait_for_input();
+            else
+                call_after(unread_check_interval, [this] { check_for_disconnect(); });
             return;
+        }
         end_by(connection_side::caller, "the caller closed its side");
         const auto notify = std::exchange(on_disconnect_, {});
         notify();
@@ -282,11 +302,10 @@
         abort();
     }
 
-    /// Calls a function after a time unless the timer is stopped before; meanwhile the stream has no timeout.
+    /// Calls a function after a time unless the timer is stopped before.
     template <typename Function>
     auto call_after(state::duration timeout, Function function) -> void
     {
-        beast::get_lowest_layer(stream_).expires_never();
         timer_.expires_after(timeout);
         timer_.async_wait([self = this->weak_from_this(), round = ++timer_round_,
                            function](boost::system::error_code fault) {
@@ -330,6 +349,7 @@
         is_complete_ = false;
         auto is_late = false;
         // A timeout of the stream would close the socket, which is needed for the answer.
+        beast::get_lowest_layer(stream_).expires_never();
         call_after(shared_->settings_.request_timeout_, [this, &is_late] {
             is_late = true;
             beast::get_lowest_layer(stream_).cancel();
@@ -418,6 +438,7 @@
             problem = problem_response(fault);
         }
         on_disconnect_ = {};
+        stop_timer();
         if (problem && !is_answered_)
             co_await send(std::move(*problem));
     }
@@ -444,6 +465,7 @@
     std::function<void()> on_disconnect_;
     std::optional<request_progress> progress_;
     std::optional<ending> ending_;
+    bool is_waiting_for_input_{false};
     bool is_answered_{false};
     bool is_complete_{false};
     bool is_aborted_{false};
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -268,6 +268,22 @@
     BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 0; }));
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_with_a_second_request_behind_left_unnoticed)
+{
+    auto server = running_server{settings(), stream_until_disconnect};
+    auto leaving = caller{server.port()};
+    leaving.send(std::string{plain_request} + plain_request);
+    leaving.read_until("two");
+    leaving.send(plain_request);
+    // The watch sees the unread bytes first.
+    constexpr auto several_checks = 250ms;
+    std::this_thread::sleep_for(several_checks);
+    BOOST_TEST(server.counts().open_connections_ == 1U);
+    leaving.close();
+    BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 0; }));
+    BOOST_TEST(server.counts().incomplete_by_caller_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(log_lines_about_callers_that_leave_filled_the_log)
 {
     auto budget = transport::logging::line_budget{2};
