http: Keep an idle connection whose next request lies in the socket

A caller that sent its next request at the moment at which its connection counted as idle got the connection reset: close_idle(), which runs ten times a second during a stop, and the idle timeout of the stream closed the socket without a look at what had arrived.

Both now look first and leave a connection with unread bytes to its pending read. The idle time runs on the connection's own timer and is checked again while bytes lie unread, since those need not become a request. A request that is still in transit when the connection closes is lost as before; the caller sees that it was not read.

The tests failed before the fix: both second requests got a closed connection.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -336,11 +336,13 @@
         parser.body_limit(shared_->settings_.max_body_bytes_);
         auto fault = boost::system::error_code{};
         if (buffer_.size() == 0) {
-            set_timeout(shared_->settings_.idle_timeout_);
-            shared_->idle_.insert_or_assign(this, [this] { close(); });
+            beast::get_lowest_layer(stream_).expires_never();
+            call_after(shared_->settings_.idle_timeout_, [this] { end_idle_time(); });
+            shared_->idle_.insert_or_assign(this, [this] { close_if_unused(); });
             const auto received = co_await stream_.async_read_some(
                 buffer_.prepare(first_read_size), asio::redirect_error(use_awaitable, fault));
             shared_->idle_.erase(this);
+            stop_timer();
             if (fault)
                 co_return false;
             buffer_.commit(received);
@@ -369,6 +371,25 @@
         co_return true;
     }
 
+    auto end_idle_time() -> void
+    {
+        // Unread bytes may turn out to be no request, such as a part of a TLS record.
+        if (!close_if_unused())
+            call_after(unread_check_interval, [this] { end_idle_time(); });
+    }
+
+    /// Closes an idle connection unless its next request lies unread in the socket.
+    auto close_if_unused() -> bool
+    {
+        auto byte = char{};
+        const auto received = ::recv(beast::get_lowest_layer(stream_).socket().native_handle(), &byte, 1,
+                                     MSG_PEEK | MSG_DONTWAIT);
+        if (received > 0)
+            return false;
+        close();
+        return true;
+    }
+
     auto reject_unreadable(boost::system::error_code fault) -> awaitable<void>
     {
         using beast::http::error;
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -65,6 +65,8 @@
         return result.get();
     }
 
+    auto context() -> asio::io_context& { return context_; }
+
     auto counts() -> http::server_counts
     {
         return run([](http::server& server) { return server.counts(); });
@@ -105,7 +107,12 @@
 public:
     explicit caller(std::uint16_t port) { socket_.connect({asio::ip::address_v4::loopback(), port}); }
 
-    auto send(const std::string& bytes) -> void { asio::write(socket_, asio::buffer(bytes)); }
+    /// Forgets what was received before.
+    auto send(const std::string& bytes) -> void
+    {
+        received_.clear();
+        asio::write(socket_, asio::buffer(bytes));
+    }
 
     auto read_until(const std::string& text) -> void
     {
@@ -284,6 +291,50 @@
     BOOST_TEST(server.counts().incomplete_by_caller_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(closing_idle_connections_lost_a_request_in_the_socket)
+{
+    constexpr auto transit = 20ms;
+    auto server = running_server{settings(), answer_at_once};
+    auto content = caller{server.port()};
+    content.send(plain_request);
+    content.read_until("served");
+    server.run([&](http::server& item) {
+        content.send(plain_request);
+        std::this_thread::sleep_for(transit);
+        item.close_idle();
+    });
+    BOOST_REQUIRE_NO_THROW(content.read_until("served"));
+    server.run([](http::server& item) { item.close_idle(); });
+    BOOST_TEST(content.read_all().ends_with("served"));
+}
+
+BOOST_AUTO_TEST_CASE(the_idle_timeout_lost_a_request_in_the_socket)
+{
+    constexpr auto transit = 20ms;
+    auto brief = settings();
+    brief.idle_timeout_ = 200ms;
+    auto server = running_server{brief, answer_at_once};
+    auto content = caller{server.port()};
+    content.send(plain_request);
+    content.read_until("served");
+    // The server notices at once that both times are over, and the request arrives before the idle one is
+    // handled.
+    auto timer = asio::steady_timer{server.context()};
+    auto sent = std::promise<void>{};
+    server.run([&](http::server& /*item*/) {
+        timer.expires_after(brief.idle_timeout_ / 2);
+        timer.async_wait([&](boost::system::error_code /*fault*/) {
+            content.send(plain_request);
+            std::this_thread::sleep_for(transit);
+            sent.set_value();
+        });
+        std::this_thread::sleep_for(brief.idle_timeout_ * 2);
+    });
+    sent.get_future().wait();
+    BOOST_REQUIRE_NO_THROW(content.read_until("served"));
+    BOOST_TEST(content.read_all().ends_with("served"));
+}
+
 BOOST_AUTO_TEST_CASE(log_lines_about_callers_that_leave_filled_the_log)
 {
     auto budget = transport::logging::line_budget{2};
