http, front: Log coroutines that fail, and end the requests they served

An exception of a type that nobody expected ended its coroutine without a line: asio::detached drops it. A handler's caller got a closed connection, an attempt's request waited for its deadline, and a loop that follows the store would have ended unseen.

A handler that throws anything but state::error now gives a log line and 500 (the request may have run) on a connection that stays usable, or an aborted answer with the reason in its line once headers are out. An attempt that fails this way counts as broken, its endpoint's connection is closed, and a stream that has begun is aborted, since what its caller has got is not known. Every other coroutine of the front program and the transport library that nobody waits for is completed by failure_log, which logs the exception.

The test failed before the fix: end of file instead of the 500. The branch of the failed attempt has no test; no input is known that leads there.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -4,11 +4,11 @@
 
 #include "protocol/caller/problem.hpp"
 #include "state/error.hpp"
+#include "transport/logging/failure_log.hpp"
 #include "transport/logging/logger.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -97,6 +97,16 @@
                                                         coordination::routing::run_state::not_run));
 }
 
+/// The answer to a request whose handler failed in a way that nothing provides for.
+auto failure_response() -> response
+{
+    constexpr auto status = 500U;
+    return make_response(status, protocol::caller::problem_media_type,
+                         protocol::caller::problem_text(
+                             status, "internal-error", "The instance failed on the request; it may have run.",
+                             coordination::routing::run_state::unknown));
+}
+
 } // namespace
 
 /// A connection: reads requests and passes each to the handler.
@@ -453,15 +463,26 @@
     auto answer() -> awaitable<void>
     {
         auto problem = std::optional<response>{};
+        auto failure = std::string{};
         try {
             co_await shared_->handler_(*this);
         } catch (const state::error& fault) {
             problem = problem_response(fault);
+            failure = fault.what();
+        } catch (const std::exception& fault) {
+            // A write that failed has recorded why the answer ends.
+            if (ending_)
+                throw;
+            problem = failure_response();
+            failure = fault.what();
+            log().error("handler failed " + progress_->label_ + " reason=\"" + failure + "\"");
         }
         on_disconnect_ = {};
         stop_timer();
         if (problem && !is_answered_)
             co_await send(std::move(*problem));
+        else if (problem)
+            end_by(connection_side::instance, "the handler failed: " + failure);
     }
 
     auto is_reusable() const -> bool
@@ -564,7 +585,7 @@
 
 auto server::start() -> void
 {
-    asio::co_spawn(context_, accept_connections(), asio::detached);
+    asio::co_spawn(context_, accept_connections(), logging::failure_log{"http", "accept_connections"});
 }
 
 auto server::stop_accepting() -> void
@@ -615,9 +636,9 @@
             continue;
         }
         if (shared_->counts_.open_connections_ < shared_->settings_.max_connections_)
-            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            asio::co_spawn(context_, serve(std::move(socket)), logging::failure_log{"http", "serve"});
         else
-            asio::co_spawn(context_, refuse(std::move(socket)), asio::detached);
+            asio::co_spawn(context_, refuse(std::move(socket)), logging::failure_log{"http", "refuse"});
     }
 }
 
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -8,9 +8,9 @@
 #include "state/invariant.hpp"
 #include "state/overloaded.hpp"
 #include "state/stable_hash.hpp"
+#include "transport/logging/failure_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -66,12 +66,17 @@
     peers_.start();
     for (auto* kind : kinds()) {
         kind->lost_since_ = clock_.now();
-        http::asio::co_spawn(worker_.context(), follow_store(*kind), http::asio::detached);
-        http::asio::co_spawn(worker_.context(), follow_watchers(*kind), http::asio::detached);
+        http::asio::co_spawn(worker_.context(), follow_store(*kind),
+                             transport::logging::failure_log{"control", "follow_store"});
+        http::asio::co_spawn(worker_.context(), follow_watchers(*kind),
+                             transport::logging::failure_log{"control", "follow_watchers"});
     }
-    http::asio::co_spawn(worker_.context(), follow_instances(), http::asio::detached);
-    http::asio::co_spawn(worker_.context(), check_store(), http::asio::detached);
-    http::asio::co_spawn(worker_.context(), poll_peers_in_outage(), http::asio::detached);
+    http::asio::co_spawn(worker_.context(), follow_instances(),
+                         transport::logging::failure_log{"control", "follow_instances"});
+    http::asio::co_spawn(worker_.context(), check_store(),
+                         transport::logging::failure_log{"control", "check_store"});
+    http::asio::co_spawn(worker_.context(), poll_peers_in_outage(),
+                         transport::logging::failure_log{"control", "poll_peers_in_outage"});
     worker_.start();
 }
 
@@ -187,8 +192,9 @@
                    [this](const record_roll_out_steps& item) {
                        for (const auto& step : item.steps_) {
                            if (recording_.insert(step.service_).second)
-                               http::asio::co_spawn(worker_.context(), record_step(step),
-                                                    http::asio::detached);
+                               http::asio::co_spawn(
+                                   worker_.context(), record_step(step),
+                                   transport::logging::failure_log{"control", "record_step"});
                        }
                    },
                },
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -7,9 +7,9 @@
 #include "state/invariant.hpp"
 #include "state/overloaded.hpp"
 #include "transport/http/query.hpp"
+#include "transport/logging/failure_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -35,13 +35,18 @@
     return {.address_ = settings.probe_address_, .max_connections_ = max_probe_connections};
 }
 
+auto stop_connection(forward_attempt& attempt) -> void
+{
+    if (attempt.stream_)
+        attempt.stream_->cancel();
+}
+
 /// Cancels an attempt that waits for its release or for its endpoint.
 auto stop_attempt(forward_attempt& attempt) -> void
 {
     attempt.is_cancelled_ = true;
     attempt.release_timer_.cancel();
-    if (attempt.stream_)
-        attempt.stream_->cancel();
+    stop_connection(attempt);
 }
 
 } // namespace
@@ -197,7 +202,8 @@
     call->attempts_.emplace(command.attempt_, attempt);
     attempts_.emplace(command.attempt_, attempt);
     metrics_.record_attempt();
-    http::asio::co_spawn(worker_.context(), run_attempt(call, std::move(attempt)), http::asio::detached);
+    http::asio::co_spawn(worker_.context(), run_attempt(call, std::move(attempt)),
+                         transport::logging::failure_log{"network", "run_attempt"});
 }
 
 auto network_worker::run_attempt(std::shared_ptr<forwarded_call> call,
@@ -206,8 +212,23 @@
     const auto on_headers = [this](const forwarding::response_headers& headers) {
         post_to_decision(headers);
     };
-    const auto result = co_await runner_.run(call, attempt, on_headers);
+    auto result = forwarding::forward_attempt_result{.attempt_ = attempt->command_.attempt_,
+                                                     .outcome_ = forwarding::forward_outcome::broken};
+    auto failure = std::string{};
+    try {
+        result = co_await runner_.run(call, attempt, on_headers);
+    } catch (const std::exception& fault) {
+        failure = fault.what();
+    }
     attempts_.erase(result.attempt_);
+    if (!failure.empty()) {
+        log_.error("attempt failed attempt=" + std::to_string(result.attempt_.value()) + " reason=\"" +
+                   failure + "\"");
+        stop_connection(*attempt);
+        // What the caller has received is not known to the result, so the stream cannot be resumed.
+        if (call->has_sent_headers_)
+            call->output_.push(answer_aborted{"the attempt failed: " + failure});
+    }
     if (!attempt->is_cancelled_)
         post_to_decision(result);
 }
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -6,6 +6,7 @@
 #include "front/front_settings.hpp"
 #include "front/traffic_metrics.hpp"
 #include "transport/http/server.hpp"
+#include "transport/logging/logger.hpp"
 #include "transport/ring/bounded_ring.hpp"
 #include "transport/worker/worker.hpp"
 
@@ -69,6 +70,7 @@
     auto post_to_decision(network_event event) -> void;
 
     transport::process::system_clock clock_;
+    transport::logging::logger log_{"network"};
     transport::worker::worker worker_{"network"};
     std::function<bool()> is_ready_;
     std::function<std::size_t()> decision_requests_;
--- a/services/front/peer_link.cpp
+++ b/services/front/peer_link.cpp
@@ -3,10 +3,10 @@
 #include "front/peer_link.hpp"
 
 #include "state/error.hpp"
+#include "transport/logging/failure_log.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -51,7 +51,7 @@
 
 auto peer_link::start() -> void
 {
-    asio::co_spawn(socket_.get_executor(), receive(), asio::detached);
+    asio::co_spawn(socket_.get_executor(), receive(), transport::logging::failure_log{"peers", "receive"});
 }
 
 auto peer_link::set_peers(const std::vector<state::network_address>& peers) -> void
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -18,6 +18,7 @@
 #include <future>
 #include <memory>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -335,6 +336,28 @@
     BOOST_TEST(content.read_all().ends_with("served"));
 }
 
+BOOST_AUTO_TEST_CASE(a_handler_that_failed_left_its_caller_without_an_answer)
+{
+    const auto log = log_file{};
+    const auto fail = [](http::exchange& exchange) -> http::awaitable<void> {
+        exchange.set_label("request=failing");
+        if (exchange.message().target() == "/stream")
+            co_await exchange.begin(http::make_response(200, "text/event-stream", ""));
+        throw std::out_of_range{"it is a test"};
+    };
+    auto server = running_server{settings(), fail};
+    auto first = caller{server.port()};
+    first.send(plain_request);
+    first.read_until("may have run");
+    first.send(plain_request);
+    first.read_until("may have run");
+    BOOST_TEST(log.has("handler failed request=failing reason=\"it is a test\""));
+    auto second = caller{server.port()};
+    second.send("GET /stream HTTP/1.1\r\n\r\n");
+    BOOST_TEST(status_of(second.read_all()) == "200");
+    BOOST_TEST(log.has("closed_by=instance reason=\"the handler failed: it is a test\""));
+}
+
 BOOST_AUTO_TEST_CASE(log_lines_about_callers_that_leave_filled_the_log)
 {
     auto budget = transport::logging::line_budget{2};
