tests: Let a third of the callers leave in the fault soak

Callers that give up at random moments were missing from the soak, so that what they left behind was not seen beside restarts, faults and retries. A third of the streams now ends after 10 to 290 ms, and at the end each instance must hold no call, no attempt and few descriptors.

--- a/tests/processes/front_soak.sh
+++ b/tests/processes/front_soak.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A randomised soak test of the front program on the stand-in of the users' platform: instances are stopped,
-# paused, killed and restarted by signals, endpoints and the store fail, and the configuration changes; faults
-# overlap. Meanwhile callers send requests; what callers and endpoints recorded is checked at the end.
+# paused, killed and restarted by signals, endpoints and the store fail, the configuration changes, and callers leave;
+# faults overlap. Meanwhile callers send requests; what callers and endpoints recorded is checked at the end.
 # Usage: tests/processes/front_soak.sh BUILD_FOLDER [SECONDS] [SEED]
 soak_seconds=${2:-12}
 seed=${3:-1}
@@ -15,7 +15,7 @@
 
 # Sends requests to random instances; writes one line per request: kind, attempt, status, events.
 run_caller() {
-    local caller=$1 number=0 attempt instance kind status
+    local caller=$1 number=0 attempt instance kind status patience
     RANDOM=$((seed * 100 + caller))
     while [ $SECONDS -lt $end_second ]; do
         number=$((number + 1))
@@ -26,7 +26,10 @@
             0) status=$(status_of ask "$instance" "$attempt" /lookup/tag); echo "lookup $attempt $status" ;;
             1) status=$(status_of ask "$instance" "$attempt" /issue/tag -d x); echo "issue $attempt $status" ;;
             2)
-                inquire "$instance" "$attempt" -w '\nstatus: %{http_code}\n' >"$answers/$attempt.stream"
+                # A third of the callers leave at a random moment.
+                patience=10
+                [ $((RANDOM % 3)) = 0 ] && patience="0.$((RANDOM % 3))$((RANDOM % 9 + 1))"
+                inquire "$instance" "$attempt" -m "$patience" -w '\nstatus: %{http_code}\n' >"$answers/$attempt.stream"
                 echo "inquiry $attempt $(grep -oE '^status: [0-9]+' "$answers/$attempt.stream" | cut -d' ' -f2)" \
                     "$(event_numbers <"$answers/$attempt.stream")"
                 ;;
@@ -107,6 +110,15 @@
 serves() { [ "$(status_of ask "$1" "after-$RANDOM$RANDOM" /lookup/tag)" = 200 ]; }
 for i in 1 2 3; do wait_for 10 "front-$i serves after the soak" serves "$i"; done
 
+# Callers that left, and those that were answered, leave nothing behind.
+most_descriptors=60
+gauge() { curl -s "http://127.0.0.1:$(port $((10 * $1 + 1)))/metrics" | awk -v name="$2" '$1 == name { print $2 }'; }
+holds_nothing() {
+    [ "$(gauge "$1" buckthorndale_requests_inside)" = 0 ] && [ "$(gauge "$1" buckthorndale_attempts_open)" = 0 ] &&
+        [ "$(find "/proc/${process[front-$1]}/fd" -mindepth 1 | wc -l)" -lt "$most_descriptors" ]
+}
+for i in 1 2 3; do wait_for 5 "front-$i holds nothing after the soak" holds_nothing "$i"; done
+
 echo "soak seed=$seed: $(wc -l <"$folder/all") requests, $(cut -d' ' -f3 "$folder/all" | sort | uniq -c | tr '\n' ' ')"
 if [ -s "$folder/violations" ]; then
     cat "$folder/violations"
