--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -4,11 +4,11 @@
 
 #include "protocol/caller/problem.hpp"
 #include "state/error.hpp"
+#include "transport/logging/failure_log.hpp"
 #include "transport/logging/logger.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +19,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -51,6 +52,9 @@
 /// When callers that were refused may come again.
 constexpr auto refusal_retry_after = "1";
 
+/// Interval at which a caller's connection is checked while bytes of its next request lie unread.
+constexpr auto unread_check_interval = state::duration{std::chrono::milliseconds{100}};
+
 /// Bytes read at a time while the rest of a rejected request is discarded.
 constexpr auto discard_size = std::size_t{16'384};
 
@@ -93,6 +97,16 @@
                                                         coordination::routing::run_state::not_run));
 }
 
+/// The answer to a request whose handler failed in a way that nothing provides for.
+auto failure_response() -> response
+{
+    constexpr auto status = 500U;
+    return make_response(status, protocol::caller::problem_media_type,
+                         protocol::caller::problem_text(
+                             status, "internal-error", "The instance failed on the request; it may have run.",
+                             coordination::routing::run_state::unknown));
+}
+
 } // namespace
 
 /// A connection: reads requests and passes each to the handler.
@@ -120,6 +134,7 @@
             report_incomplete_answer();
         // A pending wait for the caller's disconnect shares ownership of the connection and ends here.
         on_disconnect_ = {};
+        stop_timer();
         close();
         if (failure)
             std::rethrow_exception(failure);
@@ -193,10 +208,7 @@
         on_disconnect_ = std::move(on_disconnect);
         // No timeout while waiting; each write of the response sets its own.
         beast::get_lowest_layer(stream_).expires_never();
-        auto self = this->shared_from_this();
-        beast::get_lowest_layer(stream_).socket().async_wait(
-            asio::ip::tcp::socket::wait_read,
-            [self](boost::system::error_code fault) { self->check_for_disconnect(fault); });
+        wait_for_input();
     }
 
 private:
@@ -264,17 +276,35 @@
         }
     }
 
-    auto check_for_disconnect(boost::system::error_code fault) -> void
+    auto wait_for_input() -> void
     {
-        if (fault || !on_disconnect_)
+        if (std::exchange(is_waiting_for_input_, true))
             return;
-        auto byte = char{};
-        const auto received = ::recv(beast::get_lowest_layer(stream_).socket().native_handle(), &byte, 1,
-                                     MSG_PEEK | MSG_DONTWAIT);
-        const auto has_bytes = received > 0;
-        const auto is_open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (has_bytes || is_open)
+        auto self = this->shared_from_this();
+        beast::get_lowest_layer(stream_).socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                                             [self](boost::system::error_code fault) {
+                                                                 self->is_waiting_for_input_ = false;
+                                                                 if (!fault)
+                                                                     self->check_for_disconnect();
+                                                             });
+    }
+
+    auto check_for_disconnect() -> void
+    {
+        if (!on_disconnect_)
+            return;
+        auto status = ::pollfd{.fd = beast::get_lowest_layer(stream_).socket().native_handle(),
+                               .events = POLLIN | POLLRDHUP};
+        ::poll(&status, 1, 0);
+        const auto events = static_cast<unsigned>(status.revents);
+        if ((events & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+            // Waiting for input would end at once while bytes of the next request lie unread.
+            if ((events & POLLIN) == 0)
+                wait_for_input();
+            else
+                call_after(unread_check_interval, [this] { check_for_disconnect(); });
             return;
+        }
         end_by(connection_side::caller, "the caller closed its side");
         const auto notify = std::exchange(on_disconnect_, {});
         notify();
@@ -282,11 +312,10 @@
         abort();
     }
 
-    /// Calls a function after a time unless the timer is stopped before; meanwhile the stream has no timeout.
+    /// Calls a function after a time unless the timer is stopped before.
     template <typename Function>
     auto call_after(state::duration timeout, Function function) -> void
     {
-        beast::get_lowest_layer(stream_).expires_never();
         timer_.expires_after(timeout);
         timer_.async_wait([self = this->weak_from_this(), round = ++timer_round_,
                            function](boost::system::error_code fault) {
@@ -317,11 +346,13 @@
         parser.body_limit(shared_->settings_.max_body_bytes_);
         auto fault = boost::system::error_code{};
         if (buffer_.size() == 0) {
-            set_timeout(shared_->settings_.idle_timeout_);
-            shared_->idle_.insert_or_assign(this, [this] { close(); });
+            beast::get_lowest_layer(stream_).expires_never();
+            call_after(shared_->settings_.idle_timeout_, [this] { end_idle_time(); });
+            shared_->idle_.insert_or_assign(this, [this] { close_if_unused(); });
             const auto received = co_await stream_.async_read_some(
                 buffer_.prepare(first_read_size), asio::redirect_error(use_awaitable, fault));
             shared_->idle_.erase(this);
+            stop_timer();
             if (fault)
                 co_return false;
             buffer_.commit(received);
@@ -330,6 +361,7 @@
         is_complete_ = false;
         auto is_late = false;
         // A timeout of the stream would close the socket, which is needed for the answer.
+        beast::get_lowest_layer(stream_).expires_never();
         call_after(shared_->settings_.request_timeout_, [this, &is_late] {
             is_late = true;
             beast::get_lowest_layer(stream_).cancel();
@@ -349,6 +381,25 @@
         co_return true;
     }
 
+    auto end_idle_time() -> void
+    {
+        // Unread bytes may turn out to be no request, such as a part of a TLS record.
+        if (!close_if_unused())
+            call_after(unread_check_interval, [this] { end_idle_time(); });
+    }
+
+    /// Closes an idle connection unless its next request lies unread in the socket.
+    auto close_if_unused() -> bool
+    {
+        auto byte = char{};
+        const auto received = ::recv(beast::get_lowest_layer(stream_).socket().native_handle(), &byte, 1,
+                                     MSG_PEEK | MSG_DONTWAIT);
+        if (received > 0)
+            return false;
+        close();
+        return true;
+    }
+
     auto reject_unreadable(boost::system::error_code fault) -> awaitable<void>
     {
         using beast::http::error;
@@ -412,14 +463,26 @@
     auto answer() -> awaitable<void>
     {
         auto problem = std::optional<response>{};
+        auto failure = std::string{};
         try {
             co_await shared_->handler_(*this);
         } catch (const state::error& fault) {
             problem = problem_response(fault);
+            failure = fault.what();
+        } catch (const std::exception& fault) {
+            // A write that failed has recorded why the answer ends.
+            if (ending_)
+                throw;
+            problem = failure_response();
+            failure = fault.what();
+            log().error("handler failed " + progress_->label_ + " reason=\"" + failure + "\"");
         }
         on_disconnect_ = {};
+        stop_timer();
         if (problem && !is_answered_)
             co_await send(std::move(*problem));
+        else if (problem)
+            end_by(connection_side::instance, "the handler failed: " + failure);
     }
 
     auto is_reusable() const -> bool
@@ -444,6 +507,7 @@
     std::function<void()> on_disconnect_;
     std::optional<request_progress> progress_;
     std::optional<ending> ending_;
+    bool is_waiting_for_input_{false};
     bool is_answered_{false};
     bool is_complete_{false};
     bool is_aborted_{false};
@@ -521,7 +585,7 @@
 
 auto server::start() -> void
 {
-    asio::co_spawn(context_, accept_connections(), asio::detached);
+    asio::co_spawn(context_, accept_connections(), logging::failure_log{"http", "accept_connections"});
 }
 
 auto server::stop_accepting() -> void
@@ -572,9 +636,9 @@
             continue;
         }
         if (shared_->counts_.open_connections_ < shared_->settings_.max_connections_)
-            asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+            asio::co_spawn(context_, serve(std::move(socket)), logging::failure_log{"http", "serve"});
         else
-            asio::co_spawn(context_, refuse(std::move(socket)), asio::detached);
+            asio::co_spawn(context_, refuse(std::move(socket)), logging::failure_log{"http", "refuse"});
     }
 }
 
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -18,6 +18,7 @@
 #include <future>
 #include <memory>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -65,6 +66,8 @@
         return result.get();
     }
 
+    auto context() -> asio::io_context& { return context_; }
+
     auto counts() -> http::server_counts
     {
         return run([](http::server& server) { return server.counts(); });
@@ -105,7 +108,12 @@
 public:
     explicit caller(std::uint16_t port) { socket_.connect({asio::ip::address_v4::loopback(), port}); }
 
-    auto send(const std::string& bytes) -> void { asio::write(socket_, asio::buffer(bytes)); }
+    /// Forgets what was received before.
+    auto send(const std::string& bytes) -> void
+    {
+        received_.clear();
+        asio::write(socket_, asio::buffer(bytes));
+    }
 
     auto read_until(const std::string& text) -> void
     {
@@ -268,6 +276,88 @@
     BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 0; }));
 }
 
+BOOST_AUTO_TEST_CASE(a_caller_with_a_second_request_behind_left_unnoticed)
+{
+    auto server = running_server{settings(), stream_until_disconnect};
+    auto leaving = caller{server.port()};
+    leaving.send(std::string{plain_request} + plain_request);
+    leaving.read_until("two");
+    leaving.send(plain_request);
+    // The watch sees the unread bytes first.
+    constexpr auto several_checks = 250ms;
+    std::this_thread::sleep_for(several_checks);
+    BOOST_TEST(server.counts().open_connections_ == 1U);
+    leaving.close();
+    BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 0; }));
+    BOOST_TEST(server.counts().incomplete_by_caller_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(closing_idle_connections_lost_a_request_in_the_socket)
+{
+    constexpr auto transit = 20ms;
+    auto server = running_server{settings(), answer_at_once};
+    auto content = caller{server.port()};
+    content.send(plain_request);
+    content.read_until("served");
+    server.run([&](http::server& item) {
+        content.send(plain_request);
+        std::this_thread::sleep_for(transit);
+        item.close_idle();
+    });
+    BOOST_REQUIRE_NO_THROW(content.read_until("served"));
+    server.run([](http::server& item) { item.close_idle(); });
+    BOOST_TEST(content.read_all().ends_with("served"));
+}
+
+BOOST_AUTO_TEST_CASE(the_idle_timeout_lost_a_request_in_the_socket)
+{
+    constexpr auto transit = 20ms;
+    auto brief = settings();
+    brief.idle_timeout_ = 200ms;
+    auto server = running_server{brief, answer_at_once};
+    auto content = caller{server.port()};
+    content.send(plain_request);
+    content.read_until("served");
+    // The server notices at once that both times are over, and the request arrives before the idle one is
+    // handled.
+    auto timer = asio::steady_timer{server.context()};
+    auto sent = std::promise<void>{};
+    server.run([&](http::server& /*item*/) {
+        timer.expires_after(brief.idle_timeout_ / 2);
+        timer.async_wait([&](boost::system::error_code /*fault*/) {
+            content.send(plain_request);
+            std::this_thread::sleep_for(transit);
+            sent.set_value();
+        });
+        std::this_thread::sleep_for(brief.idle_timeout_ * 2);
+    });
+    sent.get_future().wait();
+    BOOST_REQUIRE_NO_THROW(content.read_until("served"));
+    BOOST_TEST(content.read_all().ends_with("served"));
+}
+
+BOOST_AUTO_TEST_CASE(a_handler_that_failed_left_its_caller_without_an_answer)
+{
+    const auto log = log_file{};
+    const auto fail = [](http::exchange& exchange) -> http::awaitable<void> {
+        exchange.set_label("request=failing");
+        if (exchange.message().target() == "/stream")
+            co_await exchange.begin(http::make_response(200, "text/event-stream", ""));
+        throw std::out_of_range{"it is a test"};
+    };
+    auto server = running_server{settings(), fail};
+    auto first = caller{server.port()};
+    first.send(plain_request);
+    first.read_until("may have run");
+    first.send(plain_request);
+    first.read_until("may have run");
+    BOOST_TEST(log.has("handler failed request=failing reason=\"it is a test\""));
+    auto second = caller{server.port()};
+    second.send("GET /stream HTTP/1.1\r\n\r\n");
+    BOOST_TEST(status_of(second.read_all()) == "200");
+    BOOST_TEST(log.has("closed_by=instance reason=\"the handler failed: it is a test\""));
+}
+
 BOOST_AUTO_TEST_CASE(log_lines_about_callers_that_leave_filled_the_log)
 {
     auto budget = transport::logging::line_budget{2};
