front: Let watchers read a restored store before their followers do

After a restore, 43 reads of 75 instances on loopback found no watcher that reaches the store and turned their instance into one more watcher for ten seconds: a follower asks the store itself 1.7 s after the last confirmation, which was just after the store's return, while its watchers paused at random before they read.

restored_store/followers_do_not_all_ask_a_restored_store guards the delay.

--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -84,6 +84,7 @@
     if (!is_restored)
         return;
     directory_.mark_store_restored(clock_.now());
+    fallback_.store_restored(clock_.now());
     restores_.notify_all();
 }
 
@@ -194,6 +195,9 @@
         for (auto* kind : kinds())
             mark_lost(*kind, fault.what());
     }
+    // The answer may be the first that states a newer era; then the watchers are about to read the store too.
+    if (is_reachable && !fallback_.may_ask_store(clock_.now()))
+        co_return;
     if (is_reachable) {
         log_.info("no watcher reaches the store; watching it directly for a while");
         watches_until_ = clock_.now() + own_watch_duration;
--- a/tests/coordination/restored_store.cpp
+++ b/tests/coordination/restored_store.cpp
@@ -1,6 +1,7 @@
 #include "coordination/forwarding/endpoint_directory.hpp"
 #include "coordination/forwarding/roll_out_directory.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
+#include "coordination/membership/store_fallback.hpp"
 #include "coordination/membership/store_read_pacing.hpp"
 #include "coordination/membership/store_watchers.hpp"
 
@@ -176,6 +177,16 @@
     BOOST_TEST((pacing.pause(now + 10s, 0.0) == 100ms));
 }
 
+BOOST_AUTO_TEST_CASE(followers_do_not_all_ask_a_restored_store)
+{
+    auto fallback = coordination::membership::store_fallback{at(0s)};
+    fallback.watcher_confirmed(at(10s));
+    BOOST_TEST(fallback.may_ask_store(at(12s)));
+    fallback.store_restored(at(12s));
+    BOOST_TEST(!fallback.may_ask_store(at(13s)));
+    BOOST_TEST(fallback.may_ask_store(at(13200ms)));
+}
+
 BOOST_AUTO_TEST_CASE(instances_that_have_yet_to_register_again_stay_listed)
 {
     const auto instance = [](int number) {
