front: Confirm nothing to older builds after a restore of the store

In a trial with three watchers of this build and three followers of the build before, one follower answered 401 to a valid key after a restore: it states no era, so its watchers could not see that its revision belonged to the era before, and confirmed objects that it had never taken. Now an instance that has seen a restore confirms nothing to a request without an era; such a follower asks the store itself and answers 503 until revisions have caught up, as that build does anyway.

tests/processes/restored_store.sh checks what older builds are told; before the change it found 200 1 where 200 0 is wanted.

--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -136,6 +136,7 @@
     bool are_instances_known_{false};
     /// The newest known era; 0 until the first.
     state::store_era era_;
+    bool has_seen_restore_{false};
     /// Wakes the registration of this instance when the store was restored.
     transport::ring::notifier restores_;
     bool is_store_reachable_{true};
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -83,6 +83,7 @@
     }
     if (!is_restored)
         return;
+    has_seen_restore_ = true;
     directory_.mark_store_restored(clock_.now());
     fallback_.store_restored(clock_.now());
     restores_.notify_all();
@@ -342,8 +343,10 @@
     const auto wait = std::chrono::milliseconds{http::query_number(target.query_, "wait_ms", 0)};
     const auto deadline = clock_.now() + std::min<state::duration>(wait, max_watcher_wait);
     const auto is_confirmed = [&] {
-        const auto is_ahead = is_older_build && since.revision_ > kind->mirror_.position().revision_;
-        return is_fresh() && is_store_reachable_ && !is_ahead;
+        // Its revision may be one of an earlier era, where it had another meaning.
+        const auto may_be_outdated =
+            is_older_build && (has_seen_restore_ || since.revision_ > kind->mirror_.position().revision_);
+        return is_fresh() && is_store_reachable_ && !may_be_outdated;
     };
     const auto has_updates = [&] {
         const auto changed_at = kind->mirror_.changed_at();
--- a/tests/processes/restored_store.sh
+++ b/tests/processes/restored_store.sh
@@ -26,6 +26,15 @@
         awk '{ sum += $1; if ($1 > peak) peak = $1 } END { print peak + 0, sum + 0 }'
 }
 
+# The status and a header of an instance's answer to another instance, which states its era unless it is of an older
+# build. Usage: answer_to_peer INSTANCE HEADER QUERY
+answer_to_peer() {
+    curl -s -D - -o /dev/null "http://127.0.0.1:$(port $((10 * $1 + 2)))/objects/config?$3" | tr -d '\r' |
+        awk -v name="$2:" 'NR == 1 { status = $2 } $1 == name { value = $2 } END { print status, value }'
+}
+expect "an answer to an older build" "$(answer_to_peer 1 Hears-Store 'since=0&wait_ms=0')" "200 1"
+expect "the era that an instance states" "$(answer_to_peer 1 Store-Era 'since=99999&era=1&wait_ms=0')" "204 1"
+
 # The copy holds no entry of an instance, one of two endpoints of the service, and an order without a status.
 at_store -X DELETE "$store/servers/desk-2" >/dev/null
 for i in 1 2 3; do at_store -X DELETE "$store/buckthorndale-instances/front-$i" >/dev/null; done
@@ -56,6 +65,10 @@
 done
 wait_for 4 "the instances are registered again" all_are_registered
 wait_for 4 "the start of the roll-out is recorded again" order_is_running
+# An instance of an older build cannot tell the eras apart, so nothing that it knows is confirmed.
+expect "an answer to an older build after the restore" "$(answer_to_peer 1 Hears-Store 'since=5&wait_ms=0')" "200 0"
+expect "an answer to an instance of the first era" "$(answer_to_peer 1 Store-Era 'since=99999&era=1&wait_ms=0')" "200 2"
+expect "the confirmation of the second era" "$(answer_to_peer 1 Hears-Store 'since=99999&era=2&wait_ms=0')" "204 1"
 arrivals_at_desk_2() { stand_in /record | grep -oE '"desk-2" *: *[0-9]+' | grep -oE '[0-9]+$' || echo 0; }
 uses_desk_2() {
     local before
