--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -72,8 +72,11 @@
 {
     if (era <= era_)
         return;
-    log_.info("store era=" + std::to_string(era.value()) + " known=" + std::to_string(era_.value()));
-    const auto is_restored = std::exchange(era_, era) != state::store_era{};
+    const auto before = std::exchange(era_, era);
+    const auto is_restored = before != state::store_era{};
+    if (is_restored)
+        log_.warn("store restored from a copy era=" + std::to_string(era.value()) +
+                  " before=" + std::to_string(before.value()));
     for (auto* kind : kinds()) {
         const auto position = kind->mirror_.position();
         if (position.revision_ == 0 || position.era_ == era)
