--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -72,8 +72,11 @@
 {
     if (era <= era_)
         return;
-    log_.info("store era=" + std::to_string(era.value()) + " known=" + std::to_string(era_.value()));
-    const auto is_restored = std::exchange(era_, era) != state::store_era{};
+    const auto before = std::exchange(era_, era);
+    const auto is_restored = before != state::store_era{};
+    if (is_restored)
+        log_.warn("store restored from a copy era=" + std::to_string(era.value()) +
+                  " before=" + std::to_string(before.value()));
     for (auto* kind : kinds()) {
         const auto position = kind->mirror_.position();
         if (position.revision_ == 0 || position.era_ == era)
@@ -83,7 +86,9 @@
     }
     if (!is_restored)
         return;
+    has_seen_restore_ = true;
     directory_.mark_store_restored(clock_.now());
+    fallback_.store_restored(clock_.now());
     restores_.notify_all();
 }
 
@@ -194,6 +199,9 @@
         for (auto* kind : kinds())
             mark_lost(*kind, fault.what());
     }
+    // The answer may be the first that states a newer era; then the watchers are about to read the store too.
+    if (is_reachable && !fallback_.may_ask_store(clock_.now()))
+        co_return;
     if (is_reachable) {
         log_.info("no watcher reaches the store; watching it directly for a while");
         watches_until_ = clock_.now() + own_watch_duration;
@@ -338,8 +346,10 @@
     const auto wait = std::chrono::milliseconds{http::query_number(target.query_, "wait_ms", 0)};
     const auto deadline = clock_.now() + std::min<state::duration>(wait, max_watcher_wait);
     const auto is_confirmed = [&] {
-        const auto is_ahead = is_older_build && since.revision_ > kind->mirror_.position().revision_;
-        return is_fresh() && is_store_reachable_ && !is_ahead;
+        // Its revision may be one of an earlier era, where it had another meaning.
+        const auto may_be_outdated =
+            is_older_build && (has_seen_restore_ || since.revision_ > kind->mirror_.position().revision_);
+        return is_fresh() && is_store_reachable_ && !may_be_outdated;
     };
     const auto has_updates = [&] {
         const auto changed_at = kind->mirror_.changed_at();
