forwarding: Send nothing new to an endpoint that announces its shutdown

Callers' requests kept reaching an endpoint that answered each of them with Server-Leaving: 1, until the store listed it as draining or removed it. With the store away, or back from an older copy, that could last as long as the endpoint ran, and its requests were cut when it exited.

Evidence: of ten lookups at one instance seven went to desk-1 although its first answer had announced the shutdown, and 13 of the twenty at the two other instances.

The notice is now taken from the headers of every answer, before the answer is passed on, also if the attempt has been abandoned meanwhile. leaving_endpoints keeps it apart from the listing, with the registration that the endpoint had: only a later start time, or a later registration where no start time is known, brings the id back. The first instance that sees the header tells the others in a datagram. What runs at the endpoint runs on. A 421 stays bound to the listed entry, as before.

The datagram is sent to a running instance by the process test; between instances it has not been run, since those of one host do not reach each other.

--- /dev/null
+++ b/libraries/coordination/forwarding/endpoint_notice.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "state/identifiers.hpp"
+
+#include <cstdint>
+
+namespace buckthorndale::coordination::forwarding {
+
+/// What an endpoint states in the headers of a response about the requests to come.
+struct endpoint_notice {
+    /// The endpoint is shutting down and accepts no new requests.
+    bool is_leaving_{false};
+
+    auto is_empty() const -> bool { return !is_leaving_; }
+};
+
+/// An endpoint that announced its shutdown, with the registration that it had then.
+struct leaving_endpoint {
+    state::endpoint_id endpoint_;
+    /// The start time reported by the endpoint; 0 if it reports none.
+    std::uint64_t incarnation_{0};
+    std::uint64_t registered_at_{0};
+
+    auto operator==(const leaving_endpoint&) const -> bool = default;
+};
+
+} // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -46,7 +46,7 @@
         const auto is_restarted = known.endpoint_.incarnation_ != endpoint.incarnation_ ||
                                   known.endpoint_.address_ != endpoint.address_;
         if (is_restarted) {
-            known.has_announced_leaving_ = false;
+            known.has_wrong_address_ = false;
             known.consecutive_failures_ = 0;
             known.ejected_until_ = {};
         }
@@ -67,8 +67,8 @@
 {
     auto found = std::vector<const entry*>{};
     for (const auto& [id, known] : entries_) {
-        const auto is_available =
-            known.is_listed_ && !known.has_announced_leaving_ && !known.endpoint_.is_draining_;
+        const auto is_available = known.is_listed_ && !known.has_wrong_address_ &&
+                                  !known.endpoint_.is_draining_ && !leaving_.includes(known.endpoint_);
         if (is_available && known.endpoint_.service_ == query.service_ &&
             query.version_.allows(known.endpoint_.version_))
             found.push_back(&known);
@@ -294,10 +294,21 @@
         known->ejected_until_ = std::max(known->ejected_until_, now + full_ejection_time);
 }
 
-auto endpoint_pool::mark_leaving(const state::endpoint_id& id) -> void
+auto endpoint_pool::mark_leaving(const state::endpoint_id& id, state::time_point now)
+    -> std::optional<leaving_endpoint>
+{
+    const auto* known = find(id);
+    if (known == nullptr)
+        return std::nullopt;
+    const auto leaving = leaving_endpoint{
+        .endpoint_ = id, .incarnation_ = known->incarnation_, .registered_at_ = known->registered_at_};
+    return leaving_.add(leaving, now) ? std::optional{leaving} : std::nullopt;
+}
+
+auto endpoint_pool::mark_wrong_address(const state::endpoint_id& id) -> void
 {
     if (auto* known = find_entry(id))
-        known->has_announced_leaving_ = true;
+        known->has_wrong_address_ = true;
 }
 
 auto endpoint_pool::in_flight(const state::service_name& service) const -> std::int32_t
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/forwarding/endpoint_work.hpp"
+#include "coordination/forwarding/leaving_endpoints.hpp"
 #include "coordination/forwarding/version_choice.hpp"
 #include "state/identifiers.hpp"
 #include "state/registered_endpoint.hpp"
@@ -86,8 +87,20 @@
     /// Records that the endpoint refused a request because it was full, and ejects it briefly.
     auto mark_full(const state::endpoint_id& id, state::time_point now) -> void;
 
-    /// Records that the endpoint announced its shutdown, or that its address now belongs to another endpoint.
-    auto mark_leaving(const state::endpoint_id& id) -> void;
+    /// Records that the endpoint announced its shutdown. It gets no new requests until it registers again.
+    /// Returns the announcement for the other instances if it was unknown.
+    auto mark_leaving(const state::endpoint_id& id, state::time_point now) -> std::optional<leaving_endpoint>;
+
+    /// Records an announcement that another instance received.
+    auto record_remote_leaving(const leaving_endpoint& leaving, state::time_point now) -> void
+    {
+        leaving_.add(leaving, now);
+    }
+
+    /// Records that the endpoint's address now belongs to another endpoint.
+    auto mark_wrong_address(const state::endpoint_id& id) -> void;
+
+    auto forget_old(state::time_point now) -> void { leaving_.forget_old(now); }
 
     auto in_flight(const state::service_name& service) const -> std::int32_t;
 
@@ -95,7 +108,7 @@
     struct entry {
         state::registered_endpoint endpoint_;
         bool is_listed_{true};
-        bool has_announced_leaving_{false};
+        bool has_wrong_address_{false};
         std::int32_t own_in_flight_{0};
         state::duration own_pending_{0};
         state::duration remote_pending_{0};
@@ -125,6 +138,7 @@
     auto find_entry(const state::endpoint_id& id) -> entry*;
 
     std::map<state::endpoint_id, entry> entries_;
+    leaving_endpoints leaving_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_attempt_result.hpp
+++ b/libraries/coordination/forwarding/forward_attempt_result.hpp
@@ -43,8 +43,6 @@
     std::int64_t events_{0};
     /// Time from the response headers to the last event.
     state::duration stream_time_{0};
-    /// Whether the endpoint announced that it is shutting down.
-    bool is_leaving_{false};
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission/latency_window.hpp"
+#include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_pool.hpp"
 #include "coordination/forwarding/first_byte_forecast.hpp"
 #include "coordination/forwarding/first_byte_latency.hpp"
@@ -33,6 +34,10 @@
     state::attempt_handle attempt_;
     /// The model's confidence in its answer, from 0 to 100, if reported.
     std::optional<std::int32_t> confidence_;
+    state::endpoint_id endpoint_;
+    endpoint_notice notice_;
+    /// False if only the notice is to be applied, as for the headers of an error response.
+    bool is_success_{true};
 };
 
 /// Makes every decision about forwarded requests: route, owner, version, model, endpoint, retry, resumption
@@ -95,6 +100,12 @@
         suspects_.add_remote(content, endpoint, clock_.now());
     }
 
+    /// Excludes an endpoint from new requests that announced its shutdown to another instance.
+    auto record_remote_leaving(const leaving_endpoint& leaving) -> void
+    {
+        pool_.record_remote_leaving(leaving, clock_.now());
+    }
+
     auto response_headers_received(const response_headers& headers) -> void;
     auto attempt_ended(const forward_attempt_result& result) -> void;
     auto caller_left(state::request_handle handle) -> void;
@@ -183,6 +194,7 @@
     auto detach_attempt(entry& item) -> running_attempt;
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
+    auto apply_notice(const state::endpoint_id& endpoint, const endpoint_notice& notice) -> void;
     auto close_attempt(entry& item, const forward_attempt_result& result) -> running_attempt;
     auto update_endpoint_state(const entry& item, const running_attempt& attempt,
                                const forward_attempt_result& result) -> void;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -69,7 +69,9 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::response_headers_received(const response_headers& headers) -> void
 {
-    auto* item = find(headers.attempt_);
+    // An attempt that was abandoned may still have passed its answer on, so its notice counts too.
+    apply_notice(headers.endpoint_, headers.notice_);
+    auto* item = headers.is_success_ ? find(headers.attempt_) : nullptr;
     if (item == nullptr)
         return;
     const auto now = clock_.now();
@@ -116,6 +118,22 @@
     start_next_attempt(*item, "escalate at confidence " + std::to_string(headers.confidence_.value_or(0)));
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::apply_notice(const state::endpoint_id& endpoint,
+                                                       const endpoint_notice& notice) -> void
+{
+    if (!notice.is_leaving_)
+        return;
+    const auto news = pool_.mark_leaving(endpoint, clock_.now());
+    if (!news)
+        return;
+    port_.log(forward_log{.action_ = "endpoint_leaving",
+                          .endpoint_ = endpoint,
+                          .reason_ = "the endpoint announced its shutdown",
+                          .generation_ = table_->generation_});
+    port_.announce_leaving(*news);
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::expected_time_of_largest(const entry& item) -> state::duration
 {
@@ -169,8 +187,6 @@
                                                                 const forward_attempt_result& result) -> void
 {
     const auto now = clock_.now();
-    if (result.is_leaving_ || result.outcome_ == forward_outcome::wrong_endpoint)
-        pool_.mark_leaving(attempt.endpoint_);
     switch (result.outcome_) {
     case forward_outcome::complete:
         pool_.mark_succeeded(attempt.endpoint_);
@@ -194,6 +210,7 @@
         port_.announce_crash(attempt.endpoint_, item.request_.content_);
         return;
     case forward_outcome::wrong_endpoint:
+        pool_.mark_wrong_address(attempt.endpoint_);
         return;
     }
 }
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -272,6 +272,7 @@
     sweep_waiting(now);
     pins_.forget_old(now);
     suspects_.forget_old(now);
+    pool_.forget_old(now);
     for (const auto& service : roll_outs_.judge(now))
         port_.log(forward_log{.action_ = "halt_version",
                               .reason_ = "the new version of " + service.text() + " answers worse",
--- a/libraries/coordination/forwarding/forward_port.hpp
+++ b/libraries/coordination/forwarding/forward_port.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/forward_command.hpp"
 #include "coordination/forwarding/forward_log.hpp"
 #include "coordination/routing/refusal.hpp"
@@ -9,23 +10,25 @@
 
 /// The operations that the forward engine needs from the network thread; tests substitute a fake.
 template <typename Type>
-concept forward_port =
-    requires(Type& port, state::request_handle request, state::attempt_handle attempt,
-             const forward_command& command, const routing::refusal& why, const forward_log& line,
-             const state::endpoint_id& endpoint, state::content_fingerprint content) {
-        /// Starts an attempt; its end is reported through forward_engine::attempt_ended.
-        port.dispatch(command);
-        /// Cancels an attempt; its end is not reported.
-        port.cancel(attempt);
-        /// Forwards the response of a held attempt to the caller.
-        port.release(request, attempt);
-        /// Completes the caller's response with that of the attempt.
-        port.finish(request, attempt);
-        /// Sends a refusal to the caller, or aborts the response if events were already delivered.
-        port.refuse(request, why);
-        /// Announces to the other instances that this content was in flight when an endpoint crashed.
-        port.announce_crash(endpoint, content);
-        port.log(line);
-    };
+concept forward_port = requires(Type& port, state::request_handle request, state::attempt_handle attempt,
+                                const forward_command& command, const routing::refusal& why,
+                                const forward_log& line, const state::endpoint_id& endpoint,
+                                state::content_fingerprint content, const leaving_endpoint& leaving) {
+    /// Starts an attempt; its end is reported through forward_engine::attempt_ended.
+    port.dispatch(command);
+    /// Cancels an attempt; its end is not reported.
+    port.cancel(attempt);
+    /// Forwards the response of a held attempt to the caller.
+    port.release(request, attempt);
+    /// Completes the caller's response with that of the attempt.
+    port.finish(request, attempt);
+    /// Sends a refusal to the caller, or aborts the response if events were already delivered.
+    port.refuse(request, why);
+    /// Announces to the other instances that this content was in flight when an endpoint crashed.
+    port.announce_crash(endpoint, content);
+    /// Announces to the other instances that an endpoint is shutting down.
+    port.announce_leaving(leaving);
+    port.log(line);
+};
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -118,6 +118,13 @@
         crash["content"] = std::to_string(item.content_.value());
         value["crashes"].append(crash);
     }
+    for (const auto& item : message.leaving_) {
+        auto leaving = Json::Value{Json::objectValue};
+        leaving["endpoint"] = item.endpoint_.text();
+        leaving["incarnation"] = std::to_string(item.incarnation_);
+        leaving["registered_at"] = std::to_string(item.registered_at_);
+        value["leaving"].append(leaving);
+    }
     if (message.work_)
         value["work_ms"] = work_to_json(*message.work_);
     return json::to_text(value);
@@ -140,6 +147,10 @@
     for (auto& item : reader.children("crashes"))
         message.crashes_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
                                     .content_ = state::content_fingerprint{item.number("content")}});
+    for (auto& item : reader.children("leaving"))
+        message.leaving_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
+                                    .incarnation_ = item.number("incarnation"),
+                                    .registered_at_ = item.number("registered_at")});
     const auto& work = reader.raw("work_ms");
     if (work.isObject())
         message.work_ = read_work(work);
--- a/libraries/protocol/peer/peer_message.hpp
+++ b/libraries/protocol/peer/peer_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "state/identifiers.hpp"
@@ -24,6 +25,8 @@
     coordination::forwarding::report_scope scope_{coordination::forwarding::report_scope::own};
     coordination::forwarding::roll_out_report roll_outs_;
     std::vector<crash_report> crashes_;
+    /// Endpoints that announced their shutdown to the sender.
+    std::vector<coordination::forwarding::leaving_endpoint> leaving_;
     /// The pending work of each endpoint; unset if the message does not report it.
     std::optional<std::vector<coordination::forwarding::endpoint_work>> work_;
 };
--- a/services/front/decision_port.hpp
+++ b/services/front/decision_port.hpp
@@ -51,6 +51,13 @@
         post_to_control(broadcast_to_peers{std::move(message)});
     }
 
+    auto announce_leaving(const forwarding::leaving_endpoint& leaving) -> void
+    {
+        auto message = protocol::peer::peer_message{.from_ = instance_};
+        message.leaving_.push_back(leaving);
+        post_to_control(broadcast_to_peers{std::move(message)});
+    }
+
     auto log(const forwarding::forward_log& entry) -> void
     {
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(entry.since_arrival_);
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -79,6 +79,8 @@
 {
     for (const auto& crash : message.crashes_)
         engine_.record_remote_crash(crash.endpoint_, crash.content_);
+    for (const auto& leaving : message.leaving_)
+        engine_.record_remote_leaving(leaving);
     if (message.work_)
         engine_.receive_work_report(message.from_, message.scope_, *message.work_);
     if (!message.roll_outs_.ages_.empty())
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -82,7 +82,12 @@
     -> http::awaitable<bool>
 {
     auto& result = state.result_;
-    result.is_leaving_ = headers.is_leaving_;
+    const auto& command = state.attempt_.command_;
+    if (!headers.notice_.is_empty())
+        state.on_headers_({.attempt_ = command.attempt_,
+                           .endpoint_ = command.endpoint_,
+                           .notice_ = headers.notice_,
+                           .is_success_ = false});
     if (headers.is_wrong_endpoint_) {
         result.outcome_ = forward_outcome::wrong_endpoint;
         co_return false;
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -20,7 +20,8 @@
 
     explicit forward_runner(transport::http::client& client) : client_{client} {}
 
-    /// Runs an attempt to its end. The callback is called with the response headers of a successful answer.
+    /// Runs an attempt to its end. The callback is called with the response headers of a successful answer,
+    /// and before that with the notice in the headers of any answer.
     auto run(std::shared_ptr<forwarded_call> call, std::shared_ptr<forward_attempt> attempt,
              headers_callback on_headers)
         -> transport::http::awaitable<coordination::forwarding::forward_attempt_result>;
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <memory>
 #include <optional>
@@ -26,6 +27,7 @@
     std::vector<state::attempt_handle> released_;
     std::vector<state::attempt_handle> finished_;
     std::vector<coordination::routing::refusal> refusals_;
+    std::vector<forwarding::leaving_endpoint> announced_;
 
     auto dispatch(const forwarding::forward_command& command) -> void { commands_.push_back(command); }
 
@@ -50,6 +52,11 @@
         -> void
     {}
 
+    auto announce_leaving(const forwarding::leaving_endpoint& leaving) -> void
+    {
+        announced_.push_back(leaving);
+    }
+
     auto log(const forwarding::forward_log& /*line*/) -> void {}
 };
 
@@ -105,6 +112,16 @@
             {.attempt_ = port_.commands_.back().attempt_, .outcome_ = outcome, .last_event_ = last_event});
     }
 
+    /// Receives a notice in the headers of the last attempt's response.
+    auto receive_notice(const forwarding::endpoint_notice& notice) -> void
+    {
+        const auto& command = port_.commands_.back();
+        engine_.response_headers_received({.attempt_ = command.attempt_,
+                                           .endpoint_ = command.endpoint_,
+                                           .notice_ = notice,
+                                           .is_success_ = false});
+    }
+
     auto wait(state::duration time) -> void { time_.run_until(time_.now() + time); }
 
     world::scheduler time_;
@@ -305,6 +322,43 @@
     BOOST_TEST(!engine_.is_ready());
 }
 
+/// The stream at the leaving endpoint runs on; first attempts, escalations, retries and resumptions avoid it.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_announces_its_shutdown_gets_nothing_new)
+{
+    send_request(1);
+    const auto running = port_.commands_.back();
+    receive_notice({.is_leaving_ = true});
+    receive_notice({.is_leaving_ = true});
+    BOOST_REQUIRE(port_.announced_.size() == 1U);
+    BOOST_TEST(port_.announced_.front().endpoint_ == running.endpoint_);
+    for (auto handle = 2U; handle < 60; ++handle) {
+        send_request(handle);
+        receive_headers(handle % 2 == 0 ? 10 : 90);
+        end_attempt(forward_outcome::broken, "3");
+        end_attempt(forward_outcome::complete, "9");
+    }
+    const auto is_escalation = [](const auto& command) { return command.model_.text() == "large"; };
+    const auto is_resumption = [](const auto& command) { return !command.resume_after_.empty(); };
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_escalation) >= 20);
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_resumption) >= 20);
+    for (auto index = std::size_t{1}; index < port_.commands_.size(); ++index)
+        BOOST_TEST(port_.commands_[index].endpoint_.text() != running.endpoint_.text());
+    BOOST_TEST(std::ranges::count(port_.cancelled_, running.attempt_) == 0);
+    engine_.response_headers_received({.attempt_ = running.attempt_, .confidence_ = 90});
+    engine_.attempt_ended(
+        {.attempt_ = running.attempt_, .outcome_ = forward_outcome::complete, .last_event_ = "9"});
+    BOOST_TEST(std::ranges::count(port_.finished_, running.attempt_) == 1);
+}
+
+/// The caller left, but the headers were already on their way to the engine.
+BOOST_AUTO_TEST_CASE(the_notice_in_an_abandoned_answer_counts)
+{
+    send_request(1);
+    engine_.caller_left(state::request_handle{1});
+    receive_notice({.is_leaving_ = true});
+    BOOST_TEST(port_.announced_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(work_of_a_caller_that_left_is_cancelled)
 {
     send_request(1);
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -76,7 +76,7 @@
     auto draining = endpoint("e1");
     draining.is_draining_ = true;
     pool.update({draining, endpoint("e2"), endpoint("e3")});
-    pool.mark_leaving(state::endpoint_id{"e3"});
+    pool.mark_leaving(state::endpoint_id{"e3"}, at(1s));
     for (auto random = 0U; random < 50; ++random)
         BOOST_TEST(pool.choose({.service_ = service}, at(1s), random)->endpoint_.text() == "e2");
     pool.update({draining});
@@ -89,13 +89,54 @@
     auto first = endpoint("e1");
     first.incarnation_ = 1;
     pool.update({first});
-    pool.mark_leaving(first.id_);
+    pool.mark_leaving(first.id_, at(1s));
     BOOST_TEST(!pool.choose({.service_ = service}, at(1s), 1).has_value());
     first.incarnation_ = 2;
     pool.update({first});
     BOOST_TEST(pool.choose({.service_ = service}, at(1s), 1).has_value());
 }
 
+/// The store may lose an entry and list it again from an older copy, as ready and under another registration
+/// number.
+BOOST_AUTO_TEST_CASE(an_older_listing_does_not_bring_a_leaving_endpoint_back)
+{
+    auto pool = forwarding::endpoint_pool{};
+    auto leaving = endpoint("e1");
+    leaving.incarnation_ = 7;
+    const auto is_used = [&pool] { return pool.choose({.service_ = service}, at(2s), 1).has_value(); };
+    pool.update({leaving});
+    const auto announced = pool.mark_leaving(leaving.id_, at(1s));
+    BOOST_REQUIRE(announced.has_value());
+    BOOST_TEST(!pool.mark_leaving(leaving.id_, at(1s)).has_value());
+    pool.update({});
+    pool.update({leaving});
+    BOOST_TEST(!is_used());
+    leaving.registered_at_ = 90;
+    pool.update({leaving});
+    BOOST_TEST(!is_used());
+    leaving.incarnation_ = 6;
+    pool.update({leaving});
+    BOOST_TEST(!is_used());
+    leaving.incarnation_ = 8;
+    pool.update({leaving});
+    BOOST_TEST(is_used());
+    // The announcement of the run before arrives late.
+    pool.record_remote_leaving(*announced, at(2s));
+    BOOST_TEST(is_used());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_start_time_an_endpoint_that_registers_again_is_back)
+{
+    auto pool = forwarding::endpoint_pool{};
+    auto leaving = endpoint("e1");
+    pool.update({leaving});
+    pool.record_remote_leaving({.endpoint_ = leaving.id_, .registered_at_ = leaving.registered_at_}, at(1s));
+    BOOST_TEST(!pool.choose({.service_ = service}, at(1s), 1).has_value());
+    ++leaving.registered_at_;
+    pool.update({leaving});
+    BOOST_TEST(pool.choose({.service_ = service}, at(1s), 1).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(an_affinity_key_stays_on_one_endpoint_until_it_is_busy)
 {
     auto pool = forwarding::endpoint_pool{};
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -200,6 +200,18 @@
     BOOST_TEST(sent.body() == "question");
 }
 
+BOOST_AUTO_TEST_CASE(the_shutdown_that_an_endpoint_announces_is_read_from_every_answer)
+{
+    for (const auto status : {200U, 421U, 429U, 500U, 503U}) {
+        auto response = http::make_response(status, "text/event-stream", "");
+        BOOST_TEST(platform::read_notice(response).is_empty());
+        response.set("Server-Leaving", "0");
+        BOOST_TEST(platform::read_notice(response).is_empty());
+        response.set("Server-Leaving", "1");
+        BOOST_TEST(platform::read_notice(response).is_leaving_);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(only_what_has_not_run_is_refused_as_not_run)
 {
     using coordination::routing::refusal;
--- /dev/null
+++ b/tests/processes/endpoint_notices.sh
@@ -0,0 +1,24 @@
+#!/usr/bin/env bash
+# Endpoints that announce in their responses that they leave, and endpoints that ask for a pause.
+source "$(dirname "$0")/system.bash" "$1"
+source platform/stand_in/system.bash
+start_fronts
+
+count_of() { stand_in /record | tr -d '\n\t ' | grep -oE "\"$1\":\{[^}]*\}" | grep -oE "\"$2\":[0-9]+" | grep -oE '[0-9]+$'; }
+statuses() { for n in $(seq 1 "$3"); do status_of ask "$1" "$2-$n" /lookup/tag; echo; done | sort | uniq -c | tr -s ' \n' ' '; }
+
+# The store lists desk-1 as ready all the while.
+stand_in '/fault?endpoint=desk-1&kind=none&leaving=1' >/dev/null
+expect "lookups while desk-1 leaves" "$(statuses 1 a 10)" " 10 200 "
+expect "the requests of front-1 at desk-1" "$(($(count_of arrivals desk-1) <= 1))" 1
+# On one host the instances share an address and don't reach each other, so the datagram is sent from here.
+before=$(count_of arrivals desk-1)
+echo '{"from":"front-1","life":"1","scope":0,"leaving":[{"endpoint":"desk-1","incarnation":"0","registered_at":"99"}]}' \
+    >"/dev/udp/127.0.0.1/$(port 23)"
+sleep 0.2
+expect "lookups at an instance that was told" "$(statuses 2 b 10)" " 10 200 "
+expect "its requests at desk-1" "$(($(count_of arrivals desk-1) - before))" 0
+expect "a stream of a leaving engine" "$(for i in 1 2 3; do stand_in "/fault?endpoint=engine-$i&kind=none&leaving=1"
+done >/dev/null; asked_model=large inquire 3 c1 | event_numbers)" "1 2 3 4 5 6 7 8 "
+
+[ "$failures" -eq 0 ]
--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -30,6 +30,9 @@
                                      .is_halted_ = true}}};
     message.crashes_ = {{.endpoint_ = state::endpoint_id{"e1"},
                          .content_ = state::content_fingerprint{0x8000'0000'0000'0001ULL}}};
+    message.leaving_ = {{.endpoint_ = state::endpoint_id{"e2"},
+                         .incarnation_ = 1'700'000'000'000U,
+                         .registered_at_ = 0xffff'ffff'ffff'ffffULL}};
     message.work_ = {{.endpoint_ = state::endpoint_id{"e1"}, .pending_ = std::chrono::milliseconds{240}}};
     return message;
 }
@@ -52,6 +55,7 @@
     BOOST_TEST(received.roll_outs_.ages_.front().is_halted_);
     BOOST_REQUIRE(received.crashes_.size() == 1U);
     BOOST_TEST((received.crashes_.front().content_ == sent.crashes_.front().content_));
+    BOOST_TEST((received.leaving_ == sent.leaving_));
     BOOST_TEST((received.work_ == sent.work_));
 }
 
--- a/tests/world/forward_simulation.cpp
+++ b/tests/world/forward_simulation.cpp
@@ -307,6 +307,8 @@
                                         state::content_fingerprint /*content*/) -> void
 {}
 
+auto forward_simulation::announce_leaving(const forwarding::leaving_endpoint& /*leaving*/) -> void {}
+
 auto forward_simulation::log(const forwarding::forward_log& /*line*/) -> void {}
 
 } // namespace buckthorndale::tests::world
--- a/tests/world/forward_simulation.hpp
+++ b/tests/world/forward_simulation.hpp
@@ -64,6 +64,7 @@
     auto finish(state::request_handle handle, state::attempt_handle attempt) -> void;
     auto refuse(state::request_handle handle, const coordination::routing::refusal& why) -> void;
     auto announce_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void;
+    auto announce_leaving(const coordination::forwarding::leaving_endpoint& leaving) -> void;
     auto log(const coordination::forwarding::forward_log& line) -> void;
 
 private:
