forwarding: Send nothing to an endpoint during the pause that it asks for

Endpoints that turned requests away with 503 and Retry-After got the next ones 100 ms later, and without X-Not-Run at once: each was counted as a failure of the endpoint and as a bad answer of its version. While all endpoints of a service paused, callers waited for attempts that were turned away, and were told to come back after 0.3 to 0.8 s or got 502.

Cause: Retry-After was not read.

endpoint_pauses keeps the end of each pause, with a random part that spreads the instances, and lets single requests through after it until good answers come. First attempts, retries, escalations and resumptions all choose through it. A pause is no evidence on health or version. If all endpoints pause for longer than a request may be queued, it is refused at once with the time until the first one accepts requests. Whether a request may have run is decided as before. The randomised run gains endpoints that leave by header alone, across a listing that loses them and an older one that brings them back, and endpoints that pause, with checks from the endpoints' side.

--- a/libraries/coordination/forwarding/endpoint_notice.hpp
+++ b/libraries/coordination/forwarding/endpoint_notice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/identifiers.hpp"
+#include "state/units.hpp"
 
 #include <cstdint>
 
@@ -10,8 +11,12 @@
 struct endpoint_notice {
     /// The endpoint is shutting down and accepts no new requests.
     bool is_leaving_{false};
+    /// How long the endpoint wants no more requests from this instance; zero if it asks for no pause.
+    state::duration pause_{0};
 
-    auto is_empty() const -> bool { return !is_leaving_; }
+    auto asks_for_pause() const -> bool { return pause_ > state::duration::zero(); }
+
+    auto is_empty() const -> bool { return !is_leaving_ && !asks_for_pause(); }
 };
 
 /// An endpoint that announced its shutdown, with the registration that it had then.
--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -63,14 +63,19 @@
     });
 }
 
+auto endpoint_pool::is_candidate(const entry& known, const pool_query& query) const -> bool
+{
+    const auto is_available = known.is_listed_ && !known.has_wrong_address_ &&
+                              !known.endpoint_.is_draining_ && !leaving_.includes(known.endpoint_);
+    return is_available && known.endpoint_.service_ == query.service_ &&
+           query.version_.allows(known.endpoint_.version_);
+}
+
 auto endpoint_pool::candidates(const pool_query& query) const -> std::vector<const entry*>
 {
     auto found = std::vector<const entry*>{};
     for (const auto& [id, known] : entries_) {
-        const auto is_available = known.is_listed_ && !known.has_wrong_address_ &&
-                                  !known.endpoint_.is_draining_ && !leaving_.includes(known.endpoint_);
-        if (is_available && known.endpoint_.service_ == query.service_ &&
-            query.version_.allows(known.endpoint_.version_))
+        if (is_candidate(known, query))
             found.push_back(&known);
     }
     return found;
@@ -79,7 +84,10 @@
 auto endpoint_pool::choose(const pool_query& query, state::time_point now, std::uint64_t random) const
     -> std::optional<pool_choice>
 {
-    const auto usable = candidates(query);
+    auto usable = candidates(query);
+    std::erase_if(usable, [this, now](const entry* known) {
+        return pauses_.next_request_at(known->endpoint_.id_, now) > now;
+    });
     if (usable.empty())
         return std::nullopt;
     if (!query.affinity_.empty())
@@ -89,6 +97,21 @@
     return pool_choice{.endpoint_ = best->endpoint_.id_, .queue_ = queue, .expected_ = queue + query.work_};
 }
 
+auto endpoint_pool::next_request_at(const pool_query& query, state::time_point now) const
+    -> std::optional<state::time_point>
+{
+    auto earliest = std::optional<state::time_point>{};
+    for (const auto& [id, known] : entries_) {
+        if (!is_candidate(known, query))
+            continue;
+        const auto time = pauses_.next_request_at(id, now);
+        if (time <= now)
+            return now;
+        earliest = std::min(earliest.value_or(time), time);
+    }
+    return earliest;
+}
+
 auto endpoint_pool::queueing_delay(const entry& known, const pool_query& query) -> state::duration
 {
     const auto pending = known.own_pending_ + known.remote_pending_;
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_pauses.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/leaving_endpoints.hpp"
 #include "coordination/forwarding/version_choice.hpp"
@@ -52,6 +53,11 @@
     auto choose(const pool_query& query, state::time_point now, std::uint64_t random) const
         -> std::optional<pool_choice>;
 
+    /// When the next endpoint accepts a new request, which is later than now while all of them pause; none
+    /// when no endpoint of the service accepts new requests.
+    auto next_request_at(const pool_query& query, state::time_point now) const
+        -> std::optional<state::time_point>;
+
     auto find(const state::endpoint_id& id) const -> const state::registered_endpoint*;
 
     /// The versions of the endpoints that accept new requests, the earliest registered first.
@@ -100,7 +106,14 @@
     /// Records that the endpoint's address now belongs to another endpoint.
     auto mark_wrong_address(const state::endpoint_id& id) -> void;
 
-    auto forget_old(state::time_point now) -> void { leaving_.forget_old(now); }
+    /// The endpoints that asked this instance to send them nothing for a time.
+    auto pauses() -> endpoint_pauses& { return pauses_; }
+
+    auto forget_old(state::time_point now) -> void
+    {
+        leaving_.forget_old(now);
+        pauses_.forget_old(now);
+    }
 
     auto in_flight(const state::service_name& service) const -> std::int32_t;
 
@@ -133,12 +146,14 @@
     /// Endpoints with a higher objective ratio than this rank behind the others.
     static auto max_objective_ratio(const std::vector<const entry*>& usable, state::time_point now) -> double;
 
+    auto is_candidate(const entry& known, const pool_query& query) const -> bool;
     auto candidates(const pool_query& query) const -> std::vector<const entry*>;
     auto drop_unused() -> void;
     auto find_entry(const state::endpoint_id& id) -> entry*;
 
     std::map<state::endpoint_id, entry> entries_;
     leaving_endpoints leaving_;
+    endpoint_pauses pauses_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_attempt_result.hpp
+++ b/libraries/coordination/forwarding/forward_attempt_result.hpp
@@ -43,6 +43,8 @@
     std::int64_t events_{0};
     /// Time from the response headers to the last event.
     state::duration stream_time_{0};
+    /// Whether the endpoint turned the request away and asked for a pause.
+    bool has_asked_for_pause_{false};
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -178,6 +178,8 @@
     /// Starts queued requests, the most urgent first, as far as the latency windows admit them.
     auto dispatch_queued() -> void;
     auto sweep_waiting(state::time_point now) -> void;
+    /// When a queued request is refused.
+    static auto last_wait(const entry& item) -> state::time_point;
     auto sweep_expired(state::time_point now) -> void;
     /// Abandons attempts with late response headers if another attempt is likely to be faster.
     auto sweep_late_attempts(state::time_point now) -> void;
@@ -207,6 +209,8 @@
     auto finish(entry& item, state::attempt_handle attempt) -> void;
     auto refuse(entry& item, state::error_kind kind, const std::string& detail) -> void;
     auto retry_after() -> state::duration;
+    /// The time until an endpoint accepts the request; zero unless all endpoints pause.
+    auto pause_left(const entry& item) -> state::duration;
     auto log(const entry& item, std::string action, std::string reason) -> void;
     auto find(state::attempt_handle attempt) -> entry*;
 
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -41,6 +41,7 @@
                                     .work_ = choice.expected_ - choice.queue_,
                                     .queue_ = choice.queue_};
     owners_.emplace(last_attempt_, item.handle_);
+    pool_.pauses().record_sent(endpoint, now);
     pool_.begin(endpoint, item.attempt_->work_);
     item.last_service_ = known->service_;
     item.last_version_ = known->version_;
@@ -91,6 +92,7 @@
                             std::chrono::duration<double>(*attempt.first_byte_time_) /
                                 std::chrono::duration<double>(objective),
                             now);
+    pool_.pauses().record_good_answer(attempt.endpoint_, attempt.started_, now);
     // The largest model is slow even without load.
     if (item->route_.models_.empty() || attempt.model_ != item->route_.models_.back())
         first_byte_latency_.record(item->route_.name_, *attempt.first_byte_time_, objective);
@@ -122,9 +124,16 @@
 auto forward_engine<Clock, Random, Port>::apply_notice(const state::endpoint_id& endpoint,
                                                        const endpoint_notice& notice) -> void
 {
-    if (!notice.is_leaving_)
-        return;
-    const auto news = pool_.mark_leaving(endpoint, clock_.now());
+    if (notice.asks_for_pause()) {
+        const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(notice.pause_);
+        pool_.pauses().add(endpoint, notice.pause_, clock_.now(), random_.next());
+        port_.log(forward_log{.action_ = "endpoint_pauses",
+                              .endpoint_ = endpoint,
+                              .reason_ = "the endpoint asked for " + std::to_string(time.count()) + " ms",
+                              .generation_ = table_->generation_});
+    }
+    const auto news =
+        notice.is_leaving_ ? pool_.mark_leaving(endpoint, clock_.now()) : std::optional<leaving_endpoint>{};
     if (!news)
         return;
     port_.log(forward_log{.action_ = "endpoint_leaving",
@@ -153,7 +162,9 @@
         log(*item, "attempt_over", std::string{to_string(result.outcome_)});
     const auto attempt = close_attempt(*item, result);
     update_endpoint_state(*item, attempt, result);
-    record_evidence(*item, attempt, result);
+    // A pause that an endpoint asks for says nothing about its version.
+    if (!result.has_asked_for_pause_)
+        record_evidence(*item, attempt, result);
     continue_after(*item, attempt, result);
     dispatch_queued();
 }
@@ -187,6 +198,9 @@
                                                                 const forward_attempt_result& result) -> void
 {
     const auto now = clock_.now();
+    // A pause that an endpoint asks for says nothing about its health.
+    if (result.has_asked_for_pause_)
+        return;
     switch (result.outcome_) {
     case forward_outcome::complete:
         pool_.mark_succeeded(attempt.endpoint_);
@@ -288,6 +302,8 @@
     const auto is_harmless = item.route_.is_repeatable() || !item.may_have_run_;
     if (!is_harmless || item.attempts_ >= item.route_.max_attempts_)
         return false;
+    if (pause_left(item) > state::duration::zero())
+        return false;
     constexpr auto max_unreachable = 6;
     if (outcome == forward_outcome::not_sent)
         return item.unreachable_count_ < max_unreachable;
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -152,8 +152,17 @@
     }
     const auto order = [](const entry* item) { return std::tuple{item->priority_, item->arrived_}; };
     std::ranges::sort(waiting, {}, order);
+    const auto now = clock_.now();
     for (auto* item : waiting) {
         const auto service = *item->waits_for_;
+        const auto pause = pause_left(*item);
+        if (pause > state::duration::zero()) {
+            // Waiting is pointless if the pause outlasts the request's time in the queue.
+            if (now + pause > last_wait(*item))
+                refuse(*item, state::error_kind::no_capacity,
+                       "All endpoints of the service asked for a pause.");
+            continue;
+        }
         if (settings_.uses_latency_window_ &&
             !windows_[service].admits(pool_.in_flight(service), item->priority_))
             continue;
@@ -191,6 +200,30 @@
     return min_delay + state::duration{static_cast<state::duration::rep>(random_.next() % jitter_us)};
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::pause_left(const entry& item) -> state::duration
+{
+    if (pool_.pauses().is_empty())
+        return {};
+    const auto now = clock_.now();
+    auto earliest = std::optional<state::time_point>{};
+    for (const auto& target : item.route_.targets_) {
+        const auto time = pool_.next_request_at(query_for(item, target.service_, item.model_), now);
+        if (time)
+            earliest = std::min(earliest.value_or(*time), *time);
+    }
+    return earliest.value_or(now) - now;
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::last_wait(const entry& item) -> state::time_point
+{
+    // A request that is still queued by then would only add to the delay of those behind it; its caller can
+    // retry instead.
+    constexpr auto max_wait_divisor = 8;
+    return item.arrived_ + item.route_.latency_objective_ / max_wait_divisor;
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::pin_session(const entry& item) -> void
 {
@@ -215,9 +248,10 @@
     pin_session(item);
     const auto run = item.may_have_run_ ? routing::run_state::unknown : routing::run_state::not_run;
     log(item, "refuse", std::string{state::to_string(kind)} + ": " + detail);
-    port_.refuse(
-        item.handle_,
-        routing::refusal{.kind_ = kind, .run_ = run, .retry_after_ = retry_after(), .detail_ = detail});
+    port_.refuse(item.handle_, routing::refusal{.kind_ = kind,
+                                                .run_ = run,
+                                                .retry_after_ = pause_left(item) + retry_after(),
+                                                .detail_ = detail});
     entries_.erase(item.handle_);
 }
 
@@ -298,12 +332,9 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::sweep_waiting(state::time_point now) -> void
 {
-    // A request that is still queued by then would only add to the delay of those behind it; its caller can
-    // retry instead.
-    constexpr auto max_wait_divisor = 8;
     auto overdue = std::vector<state::request_handle>{};
     for (const auto& [handle, item] : entries_) {
-        if (item.waits_for_ && now - item.arrived_ > item.route_.latency_objective_ / max_wait_divisor)
+        if (item.waits_for_ && now > last_wait(item))
             overdue.push_back(handle);
     }
     for (const auto handle : overdue) {
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -83,6 +83,7 @@
 {
     auto& result = state.result_;
     const auto& command = state.attempt_.command_;
+    result.has_asked_for_pause_ = headers.notice_.asks_for_pause();
     if (!headers.notice_.is_empty())
         state.on_headers_({.attempt_ = command.attempt_,
                            .endpoint_ = command.endpoint_,
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace buckthorndale::tests {
@@ -122,6 +123,13 @@
                                            .is_success_ = false});
     }
 
+    /// Ends the last attempt, whose endpoint asked for a pause.
+    auto end_paused(forward_outcome outcome) -> void
+    {
+        engine_.attempt_ended(
+            {.attempt_ = port_.commands_.back().attempt_, .outcome_ = outcome, .has_asked_for_pause_ = true});
+    }
+
     auto wait(state::duration time) -> void { time_.run_until(time_.now() + time); }
 
     world::scheduler time_;
@@ -350,6 +358,75 @@
     BOOST_TEST(std::ranges::count(port_.finished_, running.attempt_) == 1);
 }
 
+/// The 503 does not say that the request has not run, so it is a failed attempt; but neither the endpoint's
+/// health nor its version is worse for it.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_asks_for_a_pause_gets_nothing_until_its_end)
+{
+    send_request(1);
+    const auto pausing = port_.commands_.back().endpoint_;
+    receive_notice({.pause_ = 2s});
+    end_paused(forward_outcome::failed);
+    BOOST_TEST(port_.commands_.size() == 2U);
+    for (auto handle = 2U; handle < 80; ++handle) {
+        wait(25ms);
+        send_request(handle);
+        receive_headers(handle % 2 == 0 ? 10 : 90);
+        end_attempt(forward_outcome::broken, "3");
+        end_attempt(forward_outcome::complete, "9");
+    }
+    const auto is_pausing = [&](const auto& command) { return command.endpoint_ == pausing; };
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_pausing) == 1);
+    // After the pause and its spread the endpoint gets requests again.
+    wait(1s);
+    for (auto handle = 80U; handle < 140; ++handle) {
+        send_request(handle);
+        receive_headers(90);
+        end_attempt(forward_outcome::complete, "9");
+    }
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_pausing) > 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_is_no_evidence_against_a_version)
+{
+    engine_.update_roll_outs(
+        {{.service_ = service, .target_ = state::version_name{"v2"}, .time_allowed_ = 60s}});
+    const auto evidence = [this] {
+        return engine_.roll_outs()
+            .report(forwarding::report_scope::own, state::incarnation{1}, clock_.now())
+            .counts_.size();
+    };
+    send_request(1);
+    receive_notice({.pause_ = 1s});
+    end_paused(forward_outcome::failed);
+    BOOST_TEST(evidence() == 0U);
+    end_attempt(forward_outcome::failed);
+    BOOST_TEST(evidence() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_refused_at_once_while_all_endpoints_pause)
+{
+    // The first request is sent to three of the four endpoints, the second one to the last.
+    for (auto asked = 1U; asked <= 4; ++asked) {
+        if (asked == 1 || asked == 4)
+            send_request(asked);
+        receive_notice({.pause_ = asked == 1 ? 3s : 8s});
+        end_paused(forward_outcome::declined);
+    }
+    BOOST_REQUIRE(port_.commands_.size() == 4U);
+    for (auto handle = 10U; handle < 20; ++handle)
+        send_request(handle);
+    BOOST_TEST(port_.commands_.size() == 4U);
+    BOOST_REQUIRE(port_.refusals_.size() == 12U);
+    auto times = std::set<state::duration>{};
+    for (auto index = std::size_t{1}; index < port_.refusals_.size(); ++index) {
+        const auto& refusal = port_.refusals_[index];
+        BOOST_CHECK(refusal.run_ == coordination::routing::run_state::not_run);
+        BOOST_TEST((refusal.retry_after_ >= 3s && refusal.retry_after_ < 5s));
+        times.insert(refusal.retry_after_);
+    }
+    BOOST_TEST(times.size() > 8U);
+}
+
 /// The caller left, but the headers were already on their way to the engine.
 BOOST_AUTO_TEST_CASE(the_notice_in_an_abandoned_answer_counts)
 {
--- a/tests/coordination/forwarded_runs.cpp
+++ b/tests/coordination/forwarded_runs.cpp
@@ -37,6 +37,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(endpoints_that_leave_or_ask_for_a_pause_get_what_they_allow)
+{
+    auto announced = std::int64_t{0};
+    auto pauses = std::int64_t{0};
+    for (auto seed = std::uint64_t{1}; seed <= 60; ++seed) {
+        const auto result = forward_simulation{{.seed_ = seed, .has_notices_ = true}}.run();
+        check_no_violations(result, seed);
+        announced += result.announced_;
+        pauses += result.pauses_;
+        BOOST_TEST(result.in_time_ > result.sent_ / 2);
+    }
+    BOOST_TEST_MESSAGE("announced " << announced << " pauses " << pauses);
+    BOOST_TEST(announced > 100);
+    BOOST_TEST(pauses > 100);
+}
+
 /// Load pattern: three times the endpoints' capacity, as after the loss of most endpoints.
 BOOST_AUTO_TEST_CASE(under_three_times_the_load_the_endpoints_time_goes_to_answers_in_time)
 {
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -137,6 +137,42 @@
     BOOST_TEST(pool.choose({.service_ = service}, at(1s), 1).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_endpoint_is_probed_with_single_requests_after_its_pause)
+{
+    const auto id = state::endpoint_id{"e1"};
+    auto pauses = forwarding::endpoint_pauses{};
+    pauses.add(id, 4s, at(1s), 999'999);
+    // A shorter pause that is asked for later does not end the longer one.
+    pauses.add(id, 100ms, at(2s), 0);
+    const auto probe = pauses.next_request_at(id, at(2s));
+    BOOST_TEST((probe > at(5s) && probe < at(6s)));
+    pauses.record_good_answer(id, at(900ms), at(3s));
+    BOOST_TEST((pauses.next_request_at(id, at(3s)) == probe));
+    pauses.record_sent(id, probe);
+    // Without an answer the next request waits a second.
+    BOOST_TEST((pauses.next_request_at(id, probe) == probe + 1s));
+    pauses.record_good_answer(id, probe, probe + 50ms);
+    BOOST_TEST((pauses.next_request_at(id, probe) == probe + 300ms));
+    for (auto answers = 0; answers < 3; ++answers)
+        pauses.record_good_answer(id, probe, probe + 50ms);
+    BOOST_TEST((pauses.next_request_at(id, probe) == probe));
+}
+
+BOOST_AUTO_TEST_CASE(instances_return_to_an_endpoint_at_different_times)
+{
+    const auto id = state::endpoint_id{"e1"};
+    auto times = std::set<state::time_point>{};
+    auto random = coordination::time::seeded_random{3};
+    for (auto instance = 0; instance < 20; ++instance) {
+        auto pauses = forwarding::endpoint_pauses{};
+        pauses.add(id, 2s, at(1s), random.next());
+        times.insert(pauses.next_request_at(id, at(1s)));
+    }
+    BOOST_TEST(times.size() == 20U);
+    BOOST_TEST((*times.begin() >= at(3s)));
+    BOOST_TEST((*times.rbegin() - *times.begin() > 300ms));
+}
+
 BOOST_AUTO_TEST_CASE(an_affinity_key_stays_on_one_endpoint_until_it_is_busy)
 {
     auto pool = forwarding::endpoint_pool{};
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -212,6 +212,22 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(the_pause_that_an_endpoint_asks_for_is_read_from_a_503_alone)
+{
+    const auto pause = [](unsigned status, const std::string& text) {
+        auto response = http::make_response(status, "text/plain", "");
+        response.set("Retry-After", text);
+        return platform::read_notice(response).pause_;
+    };
+    BOOST_TEST((pause(503, "2") == 2s));
+    BOOST_TEST((pause(503, "0.25") == 250ms));
+    BOOST_TEST((pause(503, "1e300") == 1h));
+    for (const auto* const text : {"", "0", "-1", "nan", "2 s", "Wed, 21 Oct 2026 07:28:00 GMT"})
+        BOOST_TEST((pause(503, text) == 0s));
+    BOOST_TEST((pause(429, "2") == 0s));
+    BOOST_TEST((pause(200, "2") == 0s));
+}
+
 BOOST_AUTO_TEST_CASE(only_what_has_not_run_is_refused_as_not_run)
 {
     using coordination::routing::refusal;
--- a/tests/processes/endpoint_notices.sh
+++ b/tests/processes/endpoint_notices.sh
@@ -21,4 +21,21 @@
 expect "a stream of a leaving engine" "$(for i in 1 2 3; do stand_in "/fault?endpoint=engine-$i&kind=none&leaving=1"
 done >/dev/null; asked_model=large inquire 3 c1 | event_numbers)" "1 2 3 4 5 6 7 8 "
 
+for i in 1 2 3; do stand_in "/fault?endpoint=engine-$i&kind=none" >/dev/null; done
+
+# front-3 knows nothing of desk-1, which now asks for a pause; a 503 without X-Not-Run may have run.
+stand_in '/fault?endpoint=desk-1&kind=pauses&pause_ms=4000&not_run=0' >/dev/null
+expect "lookups while desk-1 pauses" "$(statuses 3 d 20)" " 20 200 "
+expect "requests that desk-1 turned away" "$(count_of turned_away desk-1)" 1
+stand_in '/fault?endpoint=desk-2&kind=pauses&pause_ms=20000' >/dev/null
+expect "lookups while both desks pause" "$(statuses 3 e 5)" " 5 503 "
+expect "requests that desk-2 turned away" "$(count_of turned_away desk-2)" 1
+expect "the time to come back" "$(ask 3 e6 /lookup/tag -D - -o "$folder/refused" -w '%{time_total}' |
+    awk '/^Retry-After/ { pause = $2 } END { print (pause > 0.3 && pause < 6 && $1 < 0.5) }')" 1
+stand_in '/fault?endpoint=desk-1&kind=none' >/dev/null
+is_served() { [ "$(status_of ask 3 "f$RANDOM$RANDOM" /lookup/tag)" = 200 ]; }
+wait_for 9 "desk-1 is used again after its pause" is_served
+expect "requests that the desks turned away in the end" \
+    "$(count_of turned_away desk-1),$(count_of turned_away desk-2)" 1,1
+
 [ "$failures" -eq 0 ]
--- a/tests/world/forward_simulation.cpp
+++ b/tests/world/forward_simulation.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 namespace buckthorndale::tests::world {
 
@@ -94,7 +95,8 @@
     auto listed = std::vector<state::registered_endpoint>{};
     for (auto& [id, item] : endpoints_) {
         item.is_known_to_leave_ = item.listed_.is_draining_;
-        listed.push_back(item.listed_);
+        if (item.is_listed_)
+            listed.push_back(item.listed_);
     }
     holder_->engine_.update_endpoints(listed);
 }
@@ -171,6 +173,10 @@
     auto chosen =
         std::next(endpoints_.begin(), static_cast<std::ptrdiff_t>(random_.below(endpoints_.size())));
     const auto id = chosen->first;
+    if (plan_.has_notices_ && random_.chance(0.5)) {
+        inject_notice(id);
+        return;
+    }
     if (random_.chance(0.2) && !chosen->second.listed_.is_draining_) {
         // The endpoint leaves and is replaced; the engine learns of it up to 500 ms later.
         chosen->second.listed_.is_draining_ = true;
@@ -186,6 +192,77 @@
                 [this, id] { endpoints_.at(id).condition_ = endpoint_condition::healthy; });
 }
 
+auto forward_simulation::inject_notice(const state::endpoint_id& id) -> void
+{
+    auto& chosen = endpoints_.at(id);
+    if (random_.chance(0.5)) {
+        chosen.condition_ = endpoint_condition::pausing;
+        time_.after(state::duration{static_cast<std::int64_t>(random_.below(2'000'000))},
+                    [this, id] { endpoints_.at(id).condition_ = endpoint_condition::healthy; });
+        return;
+    }
+    if (chosen.is_leaving_ || chosen.listed_.is_draining_)
+        return;
+    // The store lists the endpoint as ready, loses its entry, and lists it again from an older copy. Half of
+    // the endpoints start again later.
+    chosen.is_leaving_ = true;
+    chosen.listed_.incarnation_ = 1;
+    add_endpoint(chosen.listed_.version_);
+    publish();
+    const auto set_listed = [this, id](bool is_listed) {
+        endpoints_.at(id).is_listed_ = is_listed;
+        publish();
+    };
+    time_.after(500ms, [set_listed] { set_listed(false); });
+    time_.after(1s, [set_listed] { set_listed(true); });
+    time_.after(4s, [this, id, set_listed, starts_again = random_.chance(0.5)] {
+        auto& item = endpoints_.at(id);
+        item.is_leaving_ = item.has_announced_leaving_ = !starts_again;
+        item.listed_.incarnation_ += starts_again ? 1 : 0;
+        set_listed(starts_again);
+    });
+}
+
+auto forward_simulation::deliver_notice(state::attempt_handle handle) -> void
+{
+    const auto& id = attempts_.at(handle).command_.endpoint_;
+    auto& where = endpoints_.at(id);
+    if (!where.is_leaving_)
+        return;
+    result_.announced_ += std::exchange(where.has_announced_leaving_, true) ? 0 : 1;
+    holder_->engine_.response_headers_received(
+        {.attempt_ = handle, .endpoint_ = id, .notice_ = {.is_leaving_ = true}, .is_success_ = false});
+}
+
+auto forward_simulation::ask_for_pause(state::attempt_handle handle) -> void
+{
+    // By the users' rule the pause binds from half a second after the response.
+    constexpr auto allowed_time = state::duration{500ms};
+    const auto& id = attempts_.at(handle).command_.endpoint_;
+    const auto pause = state::duration{static_cast<std::int64_t>(200'000 + random_.below(3'000'000))};
+    endpoints_.at(id).pauses_.push_back(
+        {.begins_at_ = time_.now() + allowed_time, .ends_at_ = time_.now() + pause});
+    ++result_.pauses_;
+    holder_->engine_.response_headers_received(
+        {.attempt_ = handle, .endpoint_ = id, .notice_ = {.pause_ = pause}, .is_success_ = false});
+    if (attempts_.at(handle).is_cancelled_)
+        return;
+    const auto outcome = random_.chance(0.5) ? forward_outcome::declined : forward_outcome::failed;
+    holder_->engine_.attempt_ended({.attempt_ = handle, .outcome_ = outcome, .has_asked_for_pause_ = true});
+}
+
+auto forward_simulation::check_notices(fake_endpoint_state& where) -> void
+{
+    constexpr auto max_requests_in_pause = 2;
+    if (where.has_announced_leaving_)
+        record_violation("an endpoint that had announced its shutdown got a new request");
+    for (auto& pause : where.pauses_) {
+        const auto is_in_pause = time_.now() > pause.begins_at_ && time_.now() < pause.ends_at_;
+        if (is_in_pause && ++pause.requests_ > max_requests_in_pause)
+            record_violation("an endpoint that had asked for a pause got more than two requests");
+    }
+}
+
 auto forward_simulation::dispatch(const forwarding::forward_command& command) -> void
 {
     auto& item = requests_.at(command.request_);
@@ -196,11 +273,16 @@
         record_violation("an attempt was dispatched for a request that had ended");
     if (where.is_known_to_leave_)
         record_violation("an attempt was dispatched to an endpoint known to be leaving");
+    check_notices(where);
     result_.retries_ += item.sends_++ > 0 ? 1 : 0;
     if (where.condition_ == endpoint_condition::unreachable) {
         time_.after(connect_timeout, [this, handle] { report_outcome(handle, forward_outcome::not_sent); });
         return;
     }
+    if (where.condition_ == endpoint_condition::pausing) {
+        time_.after(network_time, [this, handle] { ask_for_pause(handle); });
+        return;
+    }
     if (where.condition_ == endpoint_condition::declining || where.waiting_.size() >= max_endpoint_queue) {
         time_.after(network_time, [this, handle] { report_outcome(handle, forward_outcome::declined); });
         return;
@@ -258,6 +340,8 @@
 
 auto forward_simulation::report_outcome(state::attempt_handle handle, forward_outcome outcome) -> void
 {
+    if (outcome != forward_outcome::not_sent && outcome != forward_outcome::broken)
+        deliver_notice(handle);
     if (!attempts_.at(handle).is_cancelled_)
         holder_->engine_.attempt_ended({.attempt_ = handle, .outcome_ = outcome});
 }
--- a/tests/world/forward_simulation.hpp
+++ b/tests/world/forward_simulation.hpp
@@ -28,6 +28,8 @@
     state::duration work_{std::chrono::milliseconds{60}};
     /// Whether endpoints become unreachable, hang, decline, break connections, or leave and are replaced.
     bool has_faults_{true};
+    /// Whether endpoints announce their shutdown in their responses alone, and ask for pauses.
+    bool has_notices_{false};
     /// Whether a new version is rolled out that fails half of its requests.
     bool has_bad_version_{false};
     bool uses_latency_window_{true};
@@ -40,6 +42,10 @@
     std::int64_t late_{0};
     std::int64_t refused_{0};
     std::int64_t retries_{0};
+    /// Endpoints that announced their shutdown to the engine.
+    std::int64_t announced_{0};
+    /// Pauses that endpoints asked the engine for.
+    std::int64_t pauses_{0};
     /// Requests that ran on the bad version.
     std::int64_t bad_version_runs_{0};
     /// Violations of the guarantees that callers and endpoints observed.
@@ -68,13 +74,35 @@
     auto log(const coordination::forwarding::forward_log& line) -> void;
 
 private:
-    enum class endpoint_condition : std::uint8_t { healthy, unreachable, silent, declining, breaking };
+    enum class endpoint_condition : std::uint8_t {
+        healthy,
+        unreachable,
+        silent,
+        declining,
+        breaking,
+        /// Turns requests away and asks for a pause.
+        pausing,
+    };
+
+    /// A time in which an endpoint wants no requests.
+    struct requested_pause {
+        state::time_point begins_at_;
+        state::time_point ends_at_;
+        int requests_{0};
+    };
 
     struct fake_endpoint_state {
         state::registered_endpoint listed_;
         endpoint_condition condition_{endpoint_condition::healthy};
         /// Whether the engine was told that the endpoint is leaving.
         bool is_known_to_leave_{false};
+        /// Whether the store has an entry for the endpoint.
+        bool is_listed_{true};
+        /// Whether its responses announce its shutdown.
+        bool is_leaving_{false};
+        /// Whether the engine has received such a response.
+        bool has_announced_leaving_{false};
+        std::vector<requested_pause> pauses_;
         std::int32_t busy_{0};
         std::deque<state::attempt_handle> waiting_;
     };
@@ -107,6 +135,12 @@
     auto schedule_tick() -> void;
     auto send_request() -> void;
     auto inject_fault() -> void;
+    auto inject_notice(const state::endpoint_id& id) -> void;
+    /// Delivers the notice in the headers of an attempt's response.
+    auto deliver_notice(state::attempt_handle handle) -> void;
+    auto ask_for_pause(state::attempt_handle handle) -> void;
+    /// Records a violation if the endpoint did not want this request.
+    auto check_notices(fake_endpoint_state& where) -> void;
     auto begin_work(fake_endpoint_state& where, state::attempt_handle handle) -> void;
     auto begin_waiting(fake_endpoint_state& where) -> void;
     auto end_work(state::endpoint_id where, state::attempt_handle handle) -> void;
