tests/processes: Let endpoints leave and pause in the soak, and start again

The soak knew endpoints that decline, fail, break off and hang, but none that announce their shutdown or ask for a pause, beside restarts, cuts and changes of the configuration.

--- a/tests/processes/endpoint_notices.sh
+++ b/tests/processes/endpoint_notices.sh
@@ -13,17 +13,26 @@
 expect "the requests of front-1 at desk-1" "$(($(count_of arrivals desk-1) <= 1))" 1
 # On one host the instances share an address and don't reach each other, so the datagram is sent from here.
 before=$(count_of arrivals desk-1)
-echo '{"from":"front-1","life":"1","scope":0,"leaving":[{"endpoint":"desk-1","incarnation":"0","registered_at":"99"}]}' \
+echo '{"from":"front-1","life":"1","scope":0,"leaving":[{"endpoint":"desk-1","incarnation":"1","registered_at":"99"}]}' \
     >"/dev/udp/127.0.0.1/$(port 23)"
 sleep 0.2
 expect "lookups at an instance that was told" "$(statuses 2 b 10)" " 10 200 "
 expect "its requests at desk-1" "$(($(count_of arrivals desk-1) - before))" 0
 expect "a stream of a leaving engine" "$(for i in 1 2 3; do stand_in "/fault?endpoint=engine-$i&kind=none&leaving=1"
 done >/dev/null; asked_model=large inquire 3 c1 | event_numbers)" "1 2 3 4 5 6 7 8 "
-
 for i in 1 2 3; do stand_in "/fault?endpoint=engine-$i&kind=none" >/dev/null; done
 
-# front-3 knows nothing of desk-1, which now asks for a pause; a 503 without X-Not-Run may have run.
+# desk-1 starts again under its name.
+stand_in '/fault?endpoint=desk-1&kind=none' >/dev/null
+reaches_desk_1() {
+    local before
+    before=$(count_of arrivals desk-1)
+    ask "$1" "c$RANDOM$RANDOM" /lookup/tag
+    [ "$(count_of arrivals desk-1)" -gt "$before" ]
+}
+for i in 1 2; do wait_for 5 "front-$i uses desk-1 again" reaches_desk_1 "$i"; done
+
+# desk-1 asks for a pause, without stating that the request has not run.
 stand_in '/fault?endpoint=desk-1&kind=pauses&pause_ms=4000&not_run=0' >/dev/null
 expect "lookups while desk-1 pauses" "$(statuses 3 d 20)" " 20 200 "
 expect "requests that desk-1 turned away" "$(count_of turned_away desk-1)" 1
--- a/tests/processes/front_soak.sh
+++ b/tests/processes/front_soak.sh
@@ -47,15 +47,16 @@
 # Injects one random fault.
 inject_fault() {
     local instance=$((RANDOM % 3 + 1)) engine="engine-$((RANDOM % 3 + 1))" desk="desk-$((RANDOM % 2 + 1))"
-    local kinds=(declines fails breaks silent none)
+    local kinds=(declines fails breaks silent none "pauses&pause_ms=800" "pauses&pause_ms=500&not_run=0" "none&leaving=1"
+        "declines&leaving=1" "breaks&leaving=1")
     local routes=(store engine-1 engine-2 engine-3 desk-1) connections=(none delay cut silence reset)
     case $((RANDOM % 12)) in
         0) restart_front "$instance" KILL ;;
         1) restart_front "$instance" TERM ;;
         2) kill -STOP "${process[front-$instance]}"; sleep 0.7; kill -CONT "${process[front-$instance]}" ;;
         3) kill -HUP "${process[front-$instance]}" ;;
-        4 | 5) stand_in "/fault?endpoint=$engine&kind=${kinds[RANDOM % 5]}" >/dev/null ;;
-        6) stand_in "/fault?endpoint=$desk&kind=${kinds[RANDOM % 5]}" >/dev/null ;;
+        4 | 5) stand_in "/fault?endpoint=$engine&kind=${kinds[RANDOM % 10]}" >/dev/null ;;
+        6) stand_in "/fault?endpoint=$desk&kind=${kinds[RANDOM % 10]}" >/dev/null ;;
         7) stand_in "/store?down=$((RANDOM % 2))&lost=$((RANDOM % 3))" >/dev/null ;;
         8)
             generation=$((generation + 1))
