forwarding: Probe an endpoint after a short pause at its length

An endpoint that asked for a fraction of a second got one request a second after it, until a good answer came, so callers lost its capacity for far longer than it had asked for. The first interval was a second whatever the pause. It is now as long as the pause, between 0.1 and 1 s. after_a_short_pause_the_ probes_follow_each_other_sooner failed before.

--- a/libraries/coordination/forwarding/endpoint_pauses.cpp
+++ b/libraries/coordination/forwarding/endpoint_pauses.cpp
@@ -8,7 +8,8 @@
 
 constexpr auto spread_divisor = 4;
 constexpr auto max_spread = state::duration{std::chrono::seconds{1}};
-constexpr auto first_interval = state::duration{std::chrono::seconds{1}};
+constexpr auto min_first_interval = state::duration{std::chrono::milliseconds{100}};
+constexpr auto max_first_interval = state::duration{std::chrono::seconds{1}};
 constexpr auto interval_divisor = 4;
 /// Below this interval requests are no longer held back.
 constexpr auto min_interval = state::duration{std::chrono::milliseconds{10}};
@@ -25,7 +26,7 @@
     auto& known = entries_[endpoint];
     known.ends_at_ = std::max(known.ends_at_, now + pause + delay);
     known.next_request_at_ = known.ends_at_;
-    known.interval_ = first_interval;
+    known.interval_ = std::max(known.interval_, std::clamp(pause, min_first_interval, max_first_interval));
 }
 
 auto endpoint_pauses::next_request_at(const state::endpoint_id& endpoint, state::time_point now) const
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -158,6 +158,16 @@
     BOOST_TEST((pauses.next_request_at(id, probe) == probe));
 }
 
+/// An endpoint that is full for a moment is not kept at one request a second for longer than that.
+BOOST_AUTO_TEST_CASE(after_a_short_pause_the_probes_follow_each_other_sooner)
+{
+    const auto id = state::endpoint_id{"e1"};
+    auto pauses = forwarding::endpoint_pauses{};
+    pauses.add(id, 200ms, at(1s), 0);
+    pauses.record_sent(id, at(1200ms));
+    BOOST_TEST((pauses.next_request_at(id, at(1200ms)) == at(1400ms)));
+}
+
 BOOST_AUTO_TEST_CASE(instances_return_to_an_endpoint_at_different_times)
 {
     const auto id = state::endpoint_id{"e1"};
