--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_pauses.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
+#include "coordination/forwarding/leaving_endpoints.hpp"
 #include "coordination/forwarding/version_choice.hpp"
 #include "state/identifiers.hpp"
 #include "state/registered_endpoint.hpp"
@@ -51,6 +53,11 @@
     auto choose(const pool_query& query, state::time_point now, std::uint64_t random) const
         -> std::optional<pool_choice>;
 
+    /// When the next endpoint accepts a new request, which is later than now while all of them pause; none
+    /// when no endpoint of the service accepts new requests.
+    auto next_request_at(const pool_query& query, state::time_point now) const
+        -> std::optional<state::time_point>;
+
     auto find(const state::endpoint_id& id) const -> const state::registered_endpoint*;
 
     /// The versions of the endpoints that accept new requests, the earliest registered first.
@@ -86,8 +93,27 @@
     /// Records that the endpoint refused a request because it was full, and ejects it briefly.
     auto mark_full(const state::endpoint_id& id, state::time_point now) -> void;
 
-    /// Records that the endpoint announced its shutdown, or that its address now belongs to another endpoint.
-    auto mark_leaving(const state::endpoint_id& id) -> void;
+    /// Records that the endpoint announced its shutdown. It gets no new requests until it registers again.
+    /// Returns the announcement for the other instances if it was unknown.
+    auto mark_leaving(const state::endpoint_id& id, state::time_point now) -> std::optional<leaving_endpoint>;
+
+    /// Records an announcement that another instance received.
+    auto record_remote_leaving(const leaving_endpoint& leaving, state::time_point now) -> void
+    {
+        leaving_.add(leaving, now);
+    }
+
+    /// Records that the endpoint's address now belongs to another endpoint.
+    auto mark_wrong_address(const state::endpoint_id& id) -> void;
+
+    /// The endpoints that asked this instance to send them nothing for a time.
+    auto pauses() -> endpoint_pauses& { return pauses_; }
+
+    auto forget_old(state::time_point now) -> void
+    {
+        leaving_.forget_old(now);
+        pauses_.forget_old(now);
+    }
 
     /// Whether the endpoint is left out for a while after failures or because it was full.
     auto is_ejected(const state::endpoint_id& id, state::time_point now) const -> bool;
@@ -98,7 +124,7 @@
     struct entry {
         state::registered_endpoint endpoint_;
         bool is_listed_{true};
-        bool has_announced_leaving_{false};
+        bool has_wrong_address_{false};
         std::int32_t own_in_flight_{0};
         state::duration own_pending_{0};
         state::duration remote_pending_{0};
@@ -123,11 +149,14 @@
     /// Endpoints with a higher objective ratio than this rank behind the others.
     static auto max_objective_ratio(const std::vector<const entry*>& usable, state::time_point now) -> double;
 
+    auto is_candidate(const entry& known, const pool_query& query) const -> bool;
     auto candidates(const pool_query& query) const -> std::vector<const entry*>;
     auto drop_unused() -> void;
     auto find_entry(const state::endpoint_id& id) -> entry*;
 
     std::map<state::endpoint_id, entry> entries_;
+    leaving_endpoints leaving_;
+    endpoint_pauses pauses_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission/latency_window.hpp"
+#include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_pool.hpp"
 #include "coordination/forwarding/first_byte_forecast.hpp"
 #include "coordination/forwarding/first_byte_latency.hpp"
@@ -35,6 +36,10 @@
     state::attempt_handle attempt_;
     /// The model's confidence in its answer, from 0 to 100, if reported.
     std::optional<std::int32_t> confidence_;
+    state::endpoint_id endpoint_;
+    endpoint_notice notice_;
+    /// False if only the notice is to be applied, as for the headers of an error response.
+    bool is_success_{true};
 };
 
 /// Makes every decision about forwarded requests: route, owner, version, model, endpoint, retry, resumption
@@ -97,6 +102,12 @@
         suspects_.add_remote(content, endpoint, clock_.now());
     }
 
+    /// Excludes an endpoint from new requests that announced its shutdown to another instance.
+    auto record_remote_leaving(const leaving_endpoint& leaving) -> void
+    {
+        pool_.record_remote_leaving(leaving, clock_.now());
+    }
+
     auto response_headers_received(const response_headers& headers) -> void;
     auto attempt_ended(const forward_attempt_result& result) -> void;
     /// Moves a stalled stream to another endpoint if one accepts it and the retry budget allows it;
@@ -179,6 +190,8 @@
     /// Starts queued requests, the most urgent first, as far as the latency windows admit them.
     auto dispatch_queued() -> void;
     auto sweep_waiting(state::time_point now) -> void;
+    /// When a queued request is refused.
+    static auto last_wait(const entry& item) -> state::time_point;
     auto sweep_expired(state::time_point now) -> void;
     /// Abandons attempts with late response headers if another attempt is likely to be faster.
     auto sweep_late_attempts(state::time_point now) -> void;
@@ -206,6 +219,7 @@
     auto detach_attempt(entry& item) -> running_attempt;
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
+    auto apply_notice(const state::endpoint_id& endpoint, const endpoint_notice& notice) -> void;
     auto close_attempt(entry& item, const forward_attempt_result& result) -> running_attempt;
     auto update_endpoint_state(const entry& item, const running_attempt& attempt,
                                const forward_attempt_result& result) -> void;
@@ -215,11 +229,13 @@
         -> void;
     auto can_retry(const entry& item, const running_attempt& attempt, forward_outcome outcome) -> bool;
     /// Whether the request may run again, apart from the retry budget.
-    auto may_run_again(const entry& item, forward_outcome outcome) const -> bool;
+    auto may_run_again(const entry& item, forward_outcome outcome) -> bool;
     auto pin_session(const entry& item) -> void;
     auto finish(entry& item, state::attempt_handle attempt) -> void;
     auto refuse(entry& item, state::error_kind kind, const std::string& detail) -> void;
     auto retry_after() -> state::duration;
+    /// The time until an endpoint accepts the request; zero unless all endpoints pause.
+    auto pause_left(const entry& item) -> state::duration;
     auto log(const entry& item, std::string action, std::string reason) -> void;
     auto find(state::attempt_handle attempt) -> entry*;
 
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -42,6 +42,7 @@
                                     .work_ = choice.expected_ - choice.queue_,
                                     .queue_ = choice.queue_};
     owners_.emplace(last_attempt_, item.handle_);
+    pool_.pauses().record_sent(endpoint, now);
     pool_.begin(endpoint, item.attempt_->work_);
     item.last_service_ = known->service_;
     item.last_version_ = known->version_;
@@ -71,7 +72,9 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::response_headers_received(const response_headers& headers) -> void
 {
-    auto* item = find(headers.attempt_);
+    // An attempt that was abandoned may still have passed its answer on, so its notice counts too.
+    apply_notice(headers.endpoint_, headers.notice_);
+    auto* item = headers.is_success_ ? find(headers.attempt_) : nullptr;
     if (item == nullptr)
         return;
     const auto now = clock_.now();
@@ -91,6 +94,7 @@
                             std::chrono::duration<double>(*attempt.first_byte_time_) /
                                 std::chrono::duration<double>(objective),
                             now);
+    pool_.pauses().record_good_answer(attempt.endpoint_, attempt.started_, now);
     // The largest model is slow even without load.
     if (item->route_.models_.empty() || attempt.model_ != item->route_.models_.back())
         first_byte_latency_.record(item->route_.name_, *attempt.first_byte_time_, objective);
@@ -196,6 +200,29 @@
     return std::ranges::count_if(entries_, is_unconfirmed) >= max_unconfirmed;
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::apply_notice(const state::endpoint_id& endpoint,
+                                                       const endpoint_notice& notice) -> void
+{
+    if (notice.asks_for_pause()) {
+        const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(notice.pause_);
+        pool_.pauses().add(endpoint, notice.pause_, clock_.now(), random_.next());
+        port_.log(forward_log{.action_ = "endpoint_pauses",
+                              .endpoint_ = endpoint,
+                              .reason_ = "the endpoint asked for " + std::to_string(time.count()) + " ms",
+                              .generation_ = table_->generation_});
+    }
+    const auto news =
+        notice.is_leaving_ ? pool_.mark_leaving(endpoint, clock_.now()) : std::optional<leaving_endpoint>{};
+    if (!news)
+        return;
+    port_.log(forward_log{.action_ = "endpoint_leaving",
+                          .endpoint_ = endpoint,
+                          .reason_ = "the endpoint announced its shutdown",
+                          .generation_ = table_->generation_});
+    port_.announce_leaving(*news);
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::expected_time_of_largest(const entry& item) -> state::duration
 {
@@ -215,7 +242,9 @@
         log(*item, "attempt_over", std::string{to_string(result.outcome_)});
     const auto attempt = close_attempt(*item, result);
     update_endpoint_state(*item, attempt, result);
-    record_evidence(*item, attempt, result);
+    // A pause that an endpoint asks for says nothing about its version.
+    if (!result.has_asked_for_pause_)
+        record_evidence(*item, attempt, result);
     continue_after(*item, attempt, result);
     dispatch_queued();
 }
@@ -250,8 +279,9 @@
                                                                 const forward_attempt_result& result) -> void
 {
     const auto now = clock_.now();
-    if (result.is_leaving_ || result.outcome_ == forward_outcome::wrong_endpoint)
-        pool_.mark_leaving(attempt.endpoint_);
+    // A pause that an endpoint asks for says nothing about its health.
+    if (result.has_asked_for_pause_)
+        return;
     switch (result.outcome_) {
     case forward_outcome::complete:
         pool_.mark_succeeded(attempt.endpoint_);
@@ -275,6 +305,7 @@
         port_.announce_crash(attempt.endpoint_, item.request_.content_);
         return;
     case forward_outcome::wrong_endpoint:
+        pool_.mark_wrong_address(attempt.endpoint_);
         return;
     }
 }
@@ -383,6 +414,8 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::resume_stream(entry& item) -> void
 {
+    if (pause_left(item) > state::duration::zero())
+        return;
     if (!may_run_again(item, forward_outcome::declined)) {
         refuse(item, state::error_kind::endpoint_failed, "No endpoint accepted the rest of the stream.");
         return;
@@ -407,12 +440,13 @@
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::may_run_again(const entry& item, forward_outcome outcome) const
-    -> bool
+auto forward_engine<Clock, Random, Port>::may_run_again(const entry& item, forward_outcome outcome) -> bool
 {
     const auto is_harmless = item.route_.is_repeatable() || !item.may_have_run_;
     if (!is_harmless || item.attempts_ >= item.route_.max_attempts_)
         return false;
+    if (pause_left(item) > state::duration::zero())
+        return false;
     constexpr auto max_unreachable = 6;
     if (outcome == forward_outcome::not_sent)
         return item.unreachable_count_ < max_unreachable;
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -4,9 +4,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace buckthorndale::tests {
@@ -26,6 +28,7 @@
     std::vector<state::attempt_handle> released_;
     std::vector<state::attempt_handle> finished_;
     std::vector<coordination::routing::refusal> refusals_;
+    std::vector<forwarding::leaving_endpoint> announced_;
 
     auto dispatch(const forwarding::forward_command& command) -> void { commands_.push_back(command); }
 
@@ -50,6 +53,11 @@
         -> void
     {}
 
+    auto announce_leaving(const forwarding::leaving_endpoint& leaving) -> void
+    {
+        announced_.push_back(leaving);
+    }
+
     auto log(const forwarding::forward_log& /*line*/) -> void {}
 };
 
@@ -114,6 +122,23 @@
                                  .silent_for_ = port_.commands_.back().stall_threshold_});
     }
 
+    /// Receives a notice in the headers of the last attempt's response.
+    auto receive_notice(const forwarding::endpoint_notice& notice) -> void
+    {
+        const auto& command = port_.commands_.back();
+        engine_.response_headers_received({.attempt_ = command.attempt_,
+                                           .endpoint_ = command.endpoint_,
+                                           .notice_ = notice,
+                                           .is_success_ = false});
+    }
+
+    /// Ends the last attempt, whose endpoint asked for a pause.
+    auto end_paused(forward_outcome outcome) -> void
+    {
+        engine_.attempt_ended(
+            {.attempt_ = port_.commands_.back().attempt_, .outcome_ = outcome, .has_asked_for_pause_ = true});
+    }
+
     auto wait(state::duration time) -> void { time_.run_until(time_.now() + time); }
 
     world::scheduler time_;
@@ -466,6 +491,114 @@
     BOOST_TEST(!engine_.is_ready());
 }
 
+/// The stream at the leaving endpoint runs on; first attempts, escalations, retries and resumptions avoid it.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_announces_its_shutdown_gets_nothing_new)
+{
+    send_request(1);
+    const auto running = port_.commands_.back();
+    receive_notice({.is_leaving_ = true});
+    receive_notice({.is_leaving_ = true});
+    BOOST_REQUIRE(port_.announced_.size() == 1U);
+    BOOST_TEST(port_.announced_.front().endpoint_ == running.endpoint_);
+    // Few enough streams break that the retry budget lasts.
+    for (auto handle = 2U; handle < 200; ++handle) {
+        send_request(handle);
+        receive_headers(handle % 2 == 0 ? 10 : 90);
+        if (handle % 6 == 0)
+            end_attempt(forward_outcome::broken, "3");
+        end_attempt(forward_outcome::complete, "9");
+    }
+    const auto is_escalation = [](const auto& command) { return command.model_.text() == "large"; };
+    const auto is_resumption = [](const auto& command) { return !command.resume_after_.empty(); };
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_escalation) >= 20);
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_resumption) >= 20);
+    for (auto index = std::size_t{1}; index < port_.commands_.size(); ++index)
+        BOOST_TEST(port_.commands_[index].endpoint_.text() != running.endpoint_.text());
+    BOOST_TEST(std::ranges::count(port_.cancelled_, running.attempt_) == 0);
+    engine_.response_headers_received({.attempt_ = running.attempt_, .confidence_ = 90});
+    engine_.attempt_ended(
+        {.attempt_ = running.attempt_, .outcome_ = forward_outcome::complete, .last_event_ = "9"});
+    BOOST_TEST(std::ranges::count(port_.finished_, running.attempt_) == 1);
+}
+
+/// The 503 does not say that the request has not run, so it is a failed attempt; but neither the endpoint's
+/// health nor its version is worse for it.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_asks_for_a_pause_gets_nothing_until_its_end)
+{
+    send_request(1);
+    const auto pausing = port_.commands_.back().endpoint_;
+    receive_notice({.pause_ = 2s});
+    end_paused(forward_outcome::failed);
+    BOOST_TEST(port_.commands_.size() == 2U);
+    for (auto handle = 2U; handle < 80; ++handle) {
+        wait(25ms);
+        send_request(handle);
+        receive_headers(handle % 2 == 0 ? 10 : 90);
+        end_attempt(forward_outcome::broken, "3");
+        end_attempt(forward_outcome::complete, "9");
+    }
+    const auto is_pausing = [&](const auto& command) { return command.endpoint_ == pausing; };
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_pausing) == 1);
+    // After the pause and its spread the endpoint gets requests again.
+    wait(1s);
+    for (auto handle = 80U; handle < 140; ++handle) {
+        send_request(handle);
+        receive_headers(90);
+        end_attempt(forward_outcome::complete, "9");
+    }
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_pausing) > 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_is_no_evidence_against_a_version)
+{
+    engine_.update_roll_outs(
+        {{.service_ = service, .target_ = state::version_name{"v2"}, .time_allowed_ = 60s}});
+    const auto evidence = [this] {
+        return engine_.roll_outs()
+            .report(forwarding::report_scope::own, state::incarnation{1}, clock_.now())
+            .counts_.size();
+    };
+    send_request(1);
+    receive_notice({.pause_ = 1s});
+    end_paused(forward_outcome::failed);
+    BOOST_TEST(evidence() == 0U);
+    end_attempt(forward_outcome::failed);
+    BOOST_TEST(evidence() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_refused_at_once_while_all_endpoints_pause)
+{
+    // The first request is sent to three of the four endpoints, the second one to the last.
+    for (auto asked = 1U; asked <= 4; ++asked) {
+        if (asked == 1 || asked == 4)
+            send_request(asked);
+        receive_notice({.pause_ = asked == 1 ? 3s : 8s});
+        end_paused(forward_outcome::declined);
+    }
+    BOOST_REQUIRE(port_.commands_.size() == 4U);
+    for (auto handle = 10U; handle < 20; ++handle)
+        send_request(handle);
+    BOOST_TEST(port_.commands_.size() == 4U);
+    BOOST_REQUIRE(port_.refusals_.size() == 12U);
+    auto times = std::set<state::duration>{};
+    for (auto index = std::size_t{1}; index < port_.refusals_.size(); ++index) {
+        const auto& refusal = port_.refusals_[index];
+        BOOST_CHECK(refusal.run_ == coordination::routing::run_state::not_run);
+        BOOST_TEST((refusal.retry_after_ >= 3s && refusal.retry_after_ < 5s));
+        times.insert(refusal.retry_after_);
+    }
+    BOOST_TEST(times.size() > 8U);
+}
+
+/// The caller left, but the headers were already on their way to the engine.
+BOOST_AUTO_TEST_CASE(the_notice_in_an_abandoned_answer_counts)
+{
+    send_request(1);
+    engine_.caller_left(state::request_handle{1});
+    receive_notice({.is_leaving_ = true});
+    BOOST_TEST(port_.announced_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(work_of_a_caller_that_left_is_cancelled)
 {
     send_request(1);
