front: Keep following a kind when its watch ends between two operations

A watch that learn_era() ends while one of its operations has just completed throws boost::system::system_error from its next one. follow_store() catches store_error only, so the coroutine would have ended without a log line and the kind would not have been followed again in this life. Found by reading; no test hits the moment.

--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -235,9 +235,14 @@
 auto control_worker::watch_until_restore(followed_kind& kind) -> http::awaitable<platform::object_changes>
 {
     auto watch = store_.watch(kind.mirror_.kind(), kind.mirror_.position(), watch_timeout);
-    co_return co_await http::asio::co_spawn(
-        worker_.context(), std::move(watch),
-        http::asio::bind_cancellation_slot(kind.watch_end_->slot(), http::asio::use_awaitable));
+    try {
+        co_return co_await http::asio::co_spawn(
+            worker_.context(), std::move(watch),
+            http::asio::bind_cancellation_slot(kind.watch_end_->slot(), http::asio::use_awaitable));
+    } catch (const boost::system::system_error& fault) {
+        // The watch was ended between two of its operations.
+        throw store_error{store_fault::history_gone, fault.what()};
+    }
 }
 
 auto control_worker::mark_regained(followed_kind& kind) -> void
