coordination: Compare the times of both versions in a roll-out

Callers saw a new version that answered 1.5 to 2.3 times slower completed and kept. The cause: slow_answer_detector called an answer slow above 3.5 times a running mean over both versions, and the mean followed the new version. Roll-outs then completed by time alone.

Now instances exchange histograms of times by route, model and measure, and a likelihood ratio test compares the new version's times with the old version's. All requests go to the new version only with evidence that it is not slower; undecided at 0.84 of the time, it is rolled back. The fields are added to the peer message and a build before ignores them. slow_answer_detector is removed; its test keeps its name and its factor 8 and 1, and asks for factor 2 too, which the old one asked not to find. Two tests that expected completion without any evidence now supply it, and a new one expects a roll-back without it.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -11,7 +11,6 @@
 #include "coordination/forwarding/model_choice.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
-#include "coordination/forwarding/slow_answer_detector.hpp"
 #include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/retry/retry_budget.hpp"
 #include "coordination/suspicion/crash_suspects.hpp"
@@ -188,6 +187,8 @@
                                const forward_attempt_result& result) -> void;
     auto record_evidence(const entry& item, const running_attempt& attempt,
                          const forward_attempt_result& result) -> void;
+    auto record_time(const entry& item, const running_attempt& attempt, roll_out::time_measure measure,
+                     state::duration time) -> void;
     auto continue_after(entry& item, const running_attempt& attempt, const forward_attempt_result& result)
         -> void;
     auto can_retry(const entry& item, const running_attempt& attempt, forward_outcome outcome) -> bool;
@@ -209,7 +210,6 @@
     endpoint_pool pool_;
     service_roll_outs roll_outs_;
     session_pins pins_;
-    slow_answer_detector slow_answer_detector_;
     first_byte_latency first_byte_latency_;
     first_byte_forecast forecast_;
     work_exchange work_;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -92,6 +92,8 @@
     // The largest model is slow even without load.
     if (item->route_.models_.empty() || attempt.model_ != item->route_.models_.back())
         first_byte_latency_.record(item->route_.name_, *attempt.first_byte_time_, objective);
+    if (item->route_.kind_ == state::request_kind::stream)
+        record_time(*item, attempt, roll_out::time_measure::first_byte, *attempt.first_byte_time_);
     if (!attempt.is_held_)
         return;
     const auto better = escalation_model(item->route_, item->model_,
@@ -218,17 +220,25 @@
     default:
         return;
     }
+    record(true);
     constexpr auto min_events = 4;
     const auto is_stream = item.route_.kind_ == state::request_kind::stream;
-    auto time = std::optional<state::duration>{};
     if (is_stream && result.events_ >= min_events)
-        time = result.stream_time_ / (result.events_ - 1);
-    else if (!is_stream)
-        time = attempt.first_byte_time_;
-    const auto is_slow = time && slow_answer_detector_.is_slow(item.route_.name_, attempt.model_, *time);
-    record(!is_slow);
-    if (time && !is_slow)
-        slow_answer_detector_.record(item.route_.name_, attempt.model_, *time);
+        record_time(item, attempt, roll_out::time_measure::between_events,
+                    result.stream_time_ / (result.events_ - 1));
+    else if (!is_stream && attempt.first_byte_time_)
+        record_time(item, attempt, roll_out::time_measure::whole, *attempt.first_byte_time_);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::record_time(const entry& item, const running_attempt& attempt,
+                                                      roll_out::time_measure measure, state::duration time)
+    -> void
+{
+    const auto work = roll_out::work_kind{
+        .measure_ = measure, .route_ = item.route_.name_, .model_ = attempt.model_.text()};
+    roll_outs_.record_time(attempt.service_, attempt.version_, work, attempt.endpoint_, attempt.started_,
+                           time, clock_.now());
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
--- a/libraries/coordination/forwarding/service_roll_outs.cpp
+++ b/libraries/coordination/forwarding/service_roll_outs.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace buckthorndale::coordination::forwarding {
 
@@ -23,13 +24,31 @@
 // version at most 0.0975 of the requests. The last stage leaves time for long streams on the old version to
 // end. A fleet of more than `max_fleet_with_full_share` endpoints begins with a smaller share.
 constexpr auto stages = std::array{stage{.from_ = 0.0, .share_ = 0.08}, stage{.from_ = 0.53, .share_ = 0.25},
-                                   stage{.from_ = 0.62, .share_ = 0.5}, stage{.from_ = 0.70, .share_ = 1.0}};
+                                   stage{.from_ = 0.56, .share_ = 0.5}, stage{.from_ = 0.70, .share_ = 1.0}};
 /// Up to this size a fleet needs the full first share for enough evidence: nine endpoints give two answers
 /// per second.
 constexpr auto max_fleet_with_full_share = std::size_t{16};
+/// While the new version seems slower, but not clearly so, it gets no larger share.
+constexpr auto max_suspected_share = 0.25;
 /// Until this fraction of the allowed time has passed, pinned sessions keep the old version.
 constexpr auto fixed_sessions_part = 0.5;
 constexpr auto completion_part = 0.88;
+/// All new requests go to the new version only once it was found not slower. If that is undecided at this
+/// part of the allowed time, it is rolled back: afterwards the old version's streams could not end in time.
+constexpr auto decision_part = 0.84;
+/// New endpoints are slow in their first seconds; the times of answers that began then are not counted.
+constexpr auto warm_up_part = 0.2;
+/// The part of the allowed time that the streams on the old version have to end.
+constexpr auto drain_part = 0.07;
+/// The log-likelihood ratios against slowness that accept a version when this is first possible and at the
+/// last moment.
+constexpr auto first_evidence = 4.0;
+constexpr auto last_evidence = -1.0;
+/// With fewer times of the new version, nothing is decided in its favour.
+constexpr auto min_accepted_answers = std::int64_t{12};
+constexpr auto judgement_interval = state::duration{std::chrono::milliseconds{400}};
+/// The times that a roll-out begins with are those of the last one to two periods.
+constexpr auto times_period = state::duration{std::chrono::seconds{15}};
 /// Reports arrive every second. A process that has just started waits for a few of them before it completes a
 /// roll-out.
 constexpr auto min_observation_time = state::duration{std::chrono::seconds{3}};
@@ -42,6 +61,8 @@
 
 /// Endpoints of a new version are counted in this many groups.
 constexpr auto endpoint_groups = std::uint64_t{8};
+/// Times are counted in more groups, so that in a small fleet nearly every endpoint is a group.
+constexpr auto time_groups = std::uint64_t{64};
 /// A router that has not reported for longer has stopped; its followers report to another watcher.
 constexpr auto report_lifetime = state::duration{std::chrono::seconds{5}};
 
@@ -64,6 +85,24 @@
     return part;
 }
 
+auto group_of(const state::endpoint_id& endpoint, std::uint64_t groups) -> std::int32_t
+{
+    return static_cast<std::int32_t>(state::stable_hash(endpoint.text()) % groups);
+}
+
+auto part_of(state::duration time, state::duration allowed) -> double
+{
+    return std::chrono::duration<double>(time) /
+           std::chrono::duration<double>(std::max(allowed, state::duration{1}));
+}
+
+/// The evidence that accepts a version. With time left, more evidence is waited for.
+auto needed_evidence(double part) -> double
+{
+    const auto left = std::clamp((decision_part - part) / (decision_part - stages.back().from_), 0.0, 1.0);
+    return last_evidence + left * (first_evidence - last_evidence);
+}
+
 auto is_over(staged_roll_out_state state) -> bool
 {
     return state == staged_roll_out_state::completed || state == staged_roll_out_state::rolled_back;
@@ -83,9 +122,17 @@
             item.began_ = known->second.began_;
             item.seen_at_ = known->second.seen_at_;
             item.is_halted_ = known->second.is_halted_;
+            item.accepted_at_ = known->second.accepted_at_;
+            item.slowness_ = known->second.slowness_;
             // A finished roll-out stays finished even if a stale copy of its record is read.
             if (is_over(known->second.order_.state_))
                 item.order_.state_ = known->second.order_.state_;
+        } else {
+            // Times of an earlier attempt at the same version are not evidence about this one.
+            auto& times = own_times_[order.service_];
+            const auto is_target = [&](const auto& entry) { return entry.first.version_ == order.target_; };
+            std::erase_if(times.previous_, is_target);
+            std::erase_if(times.current_, is_target);
         }
         kept.emplace(order.service_, std::move(item));
     }
@@ -102,11 +149,33 @@
     auto key = evidence_key{.service_ = service, .version_ = version, .route_ = route};
     // Only answers of the new version are counted by endpoint.
     if (version == found->second.order_.target_)
-        key.endpoint_group_ =
-            static_cast<std::int32_t>(state::stable_hash(endpoint.text()) % endpoint_groups);
+        key.endpoint_group_ = group_of(endpoint, endpoint_groups);
     own_[key] += is_good ? roll_out::evidence{.good_ = 1} : roll_out::evidence{.bad_ = 1};
 }
 
+auto service_roll_outs::record_time(const state::service_name& service, const state::version_name& version,
+                                    const roll_out::work_kind& work, const state::endpoint_id& endpoint,
+                                    state::time_point started, state::duration time, state::time_point now)
+    -> void
+{
+    const auto found = services_.find(service);
+    const auto is_running = found != services_.end() && !is_over(found->second.order_.state_);
+    const auto is_target = is_running && version == found->second.order_.target_;
+    if (is_target &&
+        part_of(started - found->second.began_, found->second.order_.time_allowed_) < warm_up_part)
+        return;
+    auto& times = own_times_[service];
+    if (!is_running && now - times.began_ >= times_period) {
+        times.previous_ = std::exchange(times.current_, {});
+        times.began_ = now;
+    }
+    const auto key = time_key{.service_ = service,
+                              .version_ = version,
+                              .work_ = work,
+                              .endpoint_group_ = is_target ? group_of(endpoint, time_groups) : 0};
+    times.current_[key].add(roll_out::time_histogram::bin_of(time));
+}
+
 auto service_roll_outs::hear(const state::instance_id& from, report_scope scope,
                              const roll_out_report& report, state::time_point now) -> void
 {
@@ -117,6 +186,8 @@
             continue;
         found->second.began_ = std::min(found->second.began_, now - age.age_);
         found->second.is_halted_ = found->second.is_halted_ || age.is_halted_;
+        if (age.is_accepted_ && !found->second.accepted_at_)
+            found->second.accepted_at_ = now;
     }
 }
 
@@ -130,18 +201,23 @@
     -> roll_out_report
 {
     auto result = roll_out_report{.life_ = life};
-    const auto counted = sum_counts(scope, now);
+    const auto sums = sum_counts(scope, now);
     for (const auto& [service, item] : services_) {
         if (is_over(item.order_.state_))
             continue;
         result.ages_.push_back({.service_ = service,
                                 .created_ = item.order_.created_,
                                 .age_ = now - item.began_,
-                                .is_halted_ = item.is_halted_});
-        for (const auto& [key, counts] : counted) {
+                                .is_halted_ = item.is_halted_,
+                                .is_accepted_ = item.accepted_at_.has_value()});
+        for (const auto& [key, counts] : sums.counts_) {
             if (key.service_ == service)
                 result.counts_.push_back({key, counts});
         }
+        for (const auto& [key, times] : sums.times_) {
+            if (key.service_ == service)
+                result.times_.push_back({key, times});
+        }
     }
     return result;
 }
@@ -162,13 +238,13 @@
         return 1.0;
     if (item.is_halted_ || item.order_.state_ == staged_roll_out_state::rolled_back)
         return 0.0;
-    const auto allowed = std::max(item.order_.time_allowed_, state::duration{1});
-    const auto part =
-        std::chrono::duration<double>(now - item.began_) / std::chrono::duration<double>(allowed);
+    const auto part = part_of(now - item.began_, item.order_.time_allowed_);
     auto share = 0.0;
     for (const auto& step : stages) {
-        if (part >= step.from_)
-            share = step.share_;
+        if (part < step.from_ || (step.share_ >= 1.0 && !item.accepted_at_) ||
+            (step.share_ > max_suspected_share && item.slowness_.is_suspected() && !item.accepted_at_))
+            break;
+        share = step.share_;
     }
     const auto fleet = max_fleet_sizes_.find(item.order_.service_);
     const auto is_first_stage = part < stages[1].from_;
@@ -215,34 +291,48 @@
     return draw < share ? version_choice{.only_ = target} : version_choice{.except_ = target};
 }
 
-auto service_roll_outs::sum_partial_reports(report_scope scope, state::time_point now) const -> counts_map
+auto service_roll_outs::add_report(evidence_sums& sums, const roll_out_report& report) -> void
 {
-    auto all = own_;
+    for (const auto& count : report.counts_)
+        sums.counts_[count.key_] += count.counts_;
+    for (const auto& count : report.times_)
+        sums.times_[count.key_] += count.times_;
+}
+
+auto service_roll_outs::sum_partial_reports(report_scope scope, state::time_point now) const -> evidence_sums
+{
+    auto all = evidence_sums{.counts_ = own_};
+    for (const auto& [service, times] : own_times_) {
+        const auto found = services_.find(service);
+        if (found == services_.end() || is_over(found->second.order_.state_))
+            continue;
+        all.times_.insert(times.current_.begin(), times.current_.end());
+        for (const auto& [key, histogram] : times.previous_)
+            all.times_[key] += histogram;
+    }
     for (const auto& [from, item] : received_) {
         const auto is_wanted = item.scope_ == report_scope::own ||
                                (item.scope_ == report_scope::subtree && scope == report_scope::all);
         if (scope == report_scope::own || !is_wanted || now - item.received_at_ > report_lifetime)
             continue;
-        for (const auto& count : item.report_.counts_)
-            all[count.key_] += count.counts_;
+        add_report(all, item.report_);
     }
     return all;
 }
 
-auto service_roll_outs::sum_counts(report_scope scope, state::time_point now) const -> counts_map
+auto service_roll_outs::sum_counts(report_scope scope, state::time_point now) const -> evidence_sums
 {
     auto best = sum_partial_reports(scope, now);
     if (scope != report_scope::all)
         return best;
     // Totals overlap and cannot be added, so the one with the most answers is used.
-    auto best_size = total_answers(best);
+    auto best_size = total_answers(best.counts_);
     for (const auto& [from, item] : received_) {
         if (item.scope_ != report_scope::all || now - item.received_at_ > report_lifetime)
             continue;
-        auto total = counts_map{};
-        for (const auto& count : item.report_.counts_)
-            total[count.key_] += count.counts_;
-        const auto size = total_answers(total);
+        auto total = evidence_sums{};
+        add_report(total, item.report_);
+        const auto size = total_answers(total.counts_);
         if (size <= best_size)
             continue;
         best = std::move(total);
@@ -285,17 +375,50 @@
     return false;
 }
 
+auto service_roll_outs::judge_times(progress& item, const times_map& all, state::time_point now) -> void
+{
+    auto work = roll_out::compared_work{};
+    for (const auto& [key, times] : all) {
+        if (key.service_ != item.order_.service_)
+            continue;
+        auto& compared = work[key.work_];
+        if (key.version_ == item.order_.target_)
+            compared.candidate_[key.endpoint_group_] += times;
+        else
+            compared.base_ += times;
+    }
+    item.slowness_.update(work);
+    if (item.slowness_.is_slower()) {
+        item.is_halted_ = true;
+        return;
+    }
+    const auto part = part_of(now - item.began_, item.order_.time_allowed_);
+    const auto has_heard_others =
+        now - item.seen_at_ >= min_observation_time && !item.slowness_.is_incomplete();
+    if (item.accepted_at_ || part < stages.back().from_ || !has_heard_others)
+        return;
+    if (item.slowness_.answers() >= min_accepted_answers &&
+        item.slowness_.evidence_against() >= needed_evidence(part))
+        item.accepted_at_ = now;
+    else if (part >= decision_part)
+        item.is_halted_ = true;
+}
+
 auto service_roll_outs::judge(state::time_point now) -> std::vector<state::service_name>
 {
     auto worse = std::vector<state::service_name>{};
-    if (!is_running())
+    if (!is_running() || now - judged_at_ < judgement_interval)
         return worse;
+    judged_at_ = now;
     const auto all = sum_counts(report_scope::all, now);
     for (auto& [service, item] : services_) {
-        if (item.is_halted_ || is_over(item.order_.state_) || !is_worse(item, all))
+        if (item.is_halted_ || is_over(item.order_.state_))
             continue;
-        item.is_halted_ = true;
-        worse.push_back(service);
+        item.is_halted_ = is_worse(item, all.counts_);
+        if (!item.is_halted_)
+            judge_times(item, all.times_, now);
+        if (item.is_halted_)
+            worse.push_back(service);
     }
     return worse;
 }
@@ -306,13 +429,13 @@
     for (const auto& [service, item] : services_) {
         if (is_over(item.order_.state_))
             continue;
+        const auto& allowed = item.order_.time_allowed_;
         auto state = staged_roll_out_state::running;
         if (item.is_halted_)
             state = staged_roll_out_state::rolled_back;
-        else if (share_of(item, now) >= 1.0 && now - item.seen_at_ >= min_observation_time &&
-                 now - item.began_ >=
-                     state::duration{static_cast<state::duration::rep>(
-                         static_cast<double>(item.order_.time_allowed_.count()) * completion_part)})
+        else if (item.accepted_at_ && now - item.seen_at_ >= min_observation_time &&
+                 part_of(now - item.began_, allowed) >= completion_part &&
+                 part_of(now - *item.accepted_at_, allowed) >= drain_part)
             state = staged_roll_out_state::completed;
         if (state != item.order_.state_)
             wanted.push_back({.service_ = service,
--- a/libraries/coordination/forwarding/service_roll_outs.hpp
+++ b/libraries/coordination/forwarding/service_roll_outs.hpp
@@ -3,6 +3,7 @@
 #include "coordination/forwarding/report_scope.hpp"
 #include "coordination/forwarding/version_choice.hpp"
 #include "coordination/roll_out/evidence.hpp"
+#include "coordination/roll_out/slowness_test.hpp"
 #include "state/identifiers.hpp"
 #include "state/registered_endpoint.hpp"
 #include "state/staged_roll_out.hpp"
@@ -34,12 +35,30 @@
     roll_out::evidence counts_;
 };
 
-/// How long a router has known an order, and whether it has found the new version worse.
+/// Identifies the times of one version for one kind of work from one group of endpoints.
+struct time_key {
+    state::service_name service_;
+    state::version_name version_;
+    roll_out::work_kind work_;
+    std::int32_t endpoint_group_{0};
+
+    auto operator<=>(const time_key&) const = default;
+};
+
+/// The times for one key.
+struct time_count {
+    time_key key_;
+    roll_out::time_histogram times_;
+};
+
+/// How long a router has known an order, and what it has found about the new version.
 struct roll_out_age {
     state::service_name service_;
     std::uint64_t created_{0};
     state::duration age_{0};
     bool is_halted_{false};
+    /// Whether there was enough evidence that the new version is not slower.
+    bool is_accepted_{false};
 };
 
 /// A router's report on roll-outs to other routers.
@@ -47,6 +66,7 @@
     /// Changes when the reporting process restarts.
     state::incarnation life_;
     std::vector<evidence_count> counts_;
+    std::vector<time_count> times_;
     std::vector<roll_out_age> ages_;
 };
 
@@ -80,6 +100,12 @@
     auto record(const state::service_name& service, const state::version_name& version,
                 const std::string& route, const state::endpoint_id& endpoint, bool is_good) -> void;
 
+    /// Counts the time of an answer of this router to a request sent at `started`. Times are counted without
+    /// a roll-out too, so that the old version's are known when one begins.
+    auto record_time(const state::service_name& service, const state::version_name& version,
+                     const roll_out::work_kind& work, const state::endpoint_id& endpoint,
+                     state::time_point started, state::duration time, state::time_point now) -> void;
+
     /// Stores a report of another router; it replaces that router's previous one.
     auto hear(const state::instance_id& from, report_scope scope, const roll_out_report& report,
               state::time_point now) -> void;
@@ -112,6 +138,9 @@
         /// When this process first saw the order; soon after that it has received few reports.
         state::time_point seen_at_;
         bool is_halted_{false};
+        /// Since when all new requests have gone to the new version, which was found not slower before.
+        std::optional<state::time_point> accepted_at_;
+        roll_out::slowness_test slowness_;
     };
 
     /// The latest report of one other router.
@@ -122,20 +151,39 @@
     };
 
     using counts_map = std::map<evidence_key, roll_out::evidence>;
+    using times_map = std::map<time_key, roll_out::time_histogram>;
+
+    struct evidence_sums {
+        counts_map counts_;
+        times_map times_;
+    };
+
+    /// The times of one service on this router, in two periods. While no roll-out runs, the current one ends
+    /// from time to time and the previous one is dropped.
+    struct service_times {
+        times_map previous_;
+        times_map current_;
+        state::time_point began_;
+    };
 
+    static auto add_report(evidence_sums& sums, const roll_out_report& report) -> void;
     auto share_of(const progress& item, state::time_point now) const -> double;
-    auto sum_counts(report_scope scope, state::time_point now) const -> counts_map;
+    auto sum_counts(report_scope scope, state::time_point now) const -> evidence_sums;
     /// Sums the own counts and the received ones within the scope, without reports of scope `all`, which
     /// overlap.
-    auto sum_partial_reports(report_scope scope, state::time_point now) const -> counts_map;
+    auto sum_partial_reports(report_scope scope, state::time_point now) const -> evidence_sums;
     auto is_worse(const progress& item, const counts_map& all) const -> bool;
+    /// Compares the times of both versions; accepts the new version, halts it or leaves it undecided.
+    auto judge_times(progress& item, const times_map& all, state::time_point now) -> void;
 
     std::map<state::service_name, progress> services_;
     /// The largest number of endpoints of one version that was ever listed. Endpoints that crash or register
     /// late must not change a share that sessions were already assigned by.
     std::map<state::service_name, std::size_t> max_fleet_sizes_;
     counts_map own_;
+    std::map<state::service_name, service_times> own_times_;
     std::map<state::instance_id, received_report> received_;
+    state::time_point judged_at_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -5,8 +5,10 @@
 
 #include <json/value.h>
 
+#include <algorithm>
 #include <map>
 #include <tuple>
+#include <utility>
 
 namespace buckthorndale::protocol::peer {
 
@@ -15,6 +17,8 @@
 namespace {
 
 constexpr auto max_value = std::int64_t{1'000'000'000'000};
+/// No duration falls into a higher bin of a time_histogram.
+constexpr auto max_bin = std::int64_t{64} * coordination::roll_out::time_histogram::bins_per_octave;
 constexpr auto max_work_ms = std::int64_t{3'600'000};
 
 /// Groups the counts by service, version and route; each row holds endpoint group, good count and bad count.
@@ -69,6 +73,64 @@
     }
 }
 
+/// Groups the times by service, version and kind of work. A row holds the endpoint group, then pairs of bin
+/// and count.
+auto times_to_json(const std::vector<forwarding::time_count>& times) -> Json::Value
+{
+    using group_key = std::tuple<std::string, std::string, coordination::roll_out::work_kind>;
+    auto groups = std::map<group_key, Json::Value>{};
+    for (const auto& item : times) {
+        auto row = Json::Value{Json::arrayValue};
+        row.append(item.key_.endpoint_group_);
+        for (const auto& [bin, count] : item.times_.counts()) {
+            row.append(bin);
+            row.append(Json::Int64{count});
+        }
+        groups[{item.key_.service_.text(), item.key_.version_.text(), item.key_.work_}].append(row);
+    }
+    auto value = Json::Value{Json::arrayValue};
+    for (const auto& [key, rows] : groups) {
+        const auto& [service, version, work] = key;
+        auto group = Json::Value{Json::objectValue};
+        group["service"] = service;
+        group["version"] = version;
+        group["route"] = work.route_;
+        if (!work.model_.empty())
+            group["model"] = work.model_;
+        group["measure"] = static_cast<int>(work.measure_);
+        group["rows"] = rows;
+        value.append(group);
+    }
+    return value;
+}
+
+auto read_times(json::object_reader& reader, std::vector<forwarding::time_count>& times) -> void
+{
+    using coordination::roll_out::time_measure;
+    constexpr auto last_measure = static_cast<std::int64_t>(time_measure::whole);
+    const auto service = state::service_name{reader.text("service")};
+    const auto version = state::version_name{reader.text("version")};
+    const auto work = coordination::roll_out::work_kind{
+        .measure_ = static_cast<time_measure>(reader.integer("measure", 0, last_measure)),
+        .route_ = reader.text("route"),
+        .model_ = reader.text_or("model", "")};
+    for (const auto& row : reader.raw("rows")) {
+        if (!row.isArray() || row.size() % 2 != 1)
+            throw state::error{state::error_kind::invalid_request,
+                               "A row of times does not have an odd number of columns.",
+                               "Send endpoint group, then pairs of bin and count."};
+        auto histogram = coordination::roll_out::time_histogram{};
+        for (auto index = Json::ArrayIndex{1}; index < row.size(); index += 2)
+            histogram.add(static_cast<std::int32_t>(std::min(read_count(row, index), max_bin)),
+                          read_count(row, index + 1));
+        times.push_back({.key_ = {.service_ = service,
+                                  .version_ = version,
+                                  .work_ = work,
+                                  .endpoint_group_ = static_cast<std::int32_t>(read_count(row, 0))},
+                         .times_ = std::move(histogram)});
+    }
+}
+
 auto work_to_json(const std::vector<forwarding::endpoint_work>& work) -> Json::Value
 {
     auto value = Json::Value{Json::objectValue};
@@ -104,12 +166,15 @@
     value["scope"] = static_cast<int>(message.scope_);
     if (!message.roll_outs_.counts_.empty())
         value["counts"] = counts_to_json(message.roll_outs_.counts_);
+    if (!message.roll_outs_.times_.empty())
+        value["times"] = times_to_json(message.roll_outs_.times_);
     for (const auto& item : message.roll_outs_.ages_) {
         auto age = Json::Value{Json::objectValue};
         age["service"] = item.service_.text();
         age["created"] = std::to_string(item.created_);
         age["age_us"] = Json::Int64{item.age_.count()};
         age["is_halted"] = item.is_halted_;
+        age["is_accepted"] = item.is_accepted_;
         value["ages"].append(age);
     }
     for (const auto& item : message.crashes_) {
@@ -132,11 +197,14 @@
     message.scope_ = static_cast<forwarding::report_scope>(reader.integer("scope", 0, 2));
     for (auto& item : reader.children("counts"))
         read_counts(item, message.roll_outs_.counts_);
+    for (auto& item : reader.children("times"))
+        read_times(item, message.roll_outs_.times_);
     for (auto& item : reader.children("ages"))
         message.roll_outs_.ages_.push_back({.service_ = state::service_name{item.text("service")},
                                             .created_ = item.number("created"),
                                             .age_ = state::duration{item.integer("age_us", 0, max_value)},
-                                            .is_halted_ = item.boolean_or("is_halted", false)});
+                                            .is_halted_ = item.boolean_or("is_halted", false),
+                                            .is_accepted_ = item.boolean_or("is_accepted", false)});
     for (auto& item : reader.children("crashes"))
         message.crashes_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
                                     .content_ = state::content_fingerprint{item.number("content")}});
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -5,7 +5,6 @@
 #include "coordination/forwarding/model_choice.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
-#include "coordination/forwarding/slow_answer_detector.hpp"
 #include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/time/seeded_random.hpp"
 
@@ -64,6 +63,20 @@
     roll_outs.record(service, version, "inquiry", state::endpoint_id{endpoint_name}, is_good);
 }
 
+/// Records times of both versions, so that the new one is found `factor` times as slow as the old one.
+auto record_times(forwarding::service_roll_outs& roll_outs, double factor, state::time_point now) -> void
+{
+    constexpr auto answers = 40;
+    const auto work = coordination::roll_out::work_kind{.route_ = "inquiry", .model_ = "small"};
+    for (auto number = 0; number < answers; ++number) {
+        const auto id = state::endpoint_id{"e" + std::to_string(number % 8)};
+        const auto time = 20ms + number * 500us;
+        roll_outs.record_time(service, old_version, work, id, now, time, now);
+        const auto time_of_new = std::chrono::duration_cast<state::duration>(time * factor);
+        roll_outs.record_time(service, new_version, work, id, now, time_of_new, now);
+    }
+}
+
 const auto both_versions = std::vector{old_version, new_version};
 
 } // namespace
@@ -242,6 +255,8 @@
     roll_outs.update({order()}, at(0s));
     BOOST_TEST(roll_outs.share(service, at(9s)) < 0.15);
     BOOST_TEST(roll_outs.share(service, at(9s)) > 0.0);
+    record_times(roll_outs, 1.0, at(9s));
+    BOOST_TEST(roll_outs.judge(at(14500ms)).empty());
     BOOST_TEST(roll_outs.share(service, at(15s)) == 1.0);
     BOOST_REQUIRE(roll_outs.steps(at(1s)).size() == 1U);
     BOOST_CHECK(roll_outs.steps(at(1s)).front().state_ == state::staged_roll_out_state::running);
@@ -251,6 +266,17 @@
     BOOST_CHECK(roll_outs.steps(at(19s)).front().state_ == state::staged_roll_out_state::completed);
 }
 
+BOOST_AUTO_TEST_CASE(without_evidence_a_version_is_rolled_back_before_its_time_ends)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    BOOST_TEST(roll_outs.judge(at(15s)).empty());
+    BOOST_TEST(roll_outs.share(service, at(15s)) <= 0.5);
+    BOOST_TEST(roll_outs.judge(at(17s)).size() == 1U);
+    BOOST_REQUIRE(roll_outs.steps(at(17s)).size() == 1U);
+    BOOST_CHECK(roll_outs.steps(at(17s)).front().state_ == state::staged_roll_out_state::rolled_back);
+}
+
 BOOST_AUTO_TEST_CASE(sessions_stay_on_their_version)
 {
     auto roll_outs = forwarding::service_roll_outs{};
@@ -356,6 +382,8 @@
 {
     auto early = forwarding::service_roll_outs{};
     early.update({order(state::staged_roll_out_state::running)}, at(0s));
+    record_times(early, 1.0, at(9s));
+    early.judge(at(14500ms));
     auto late = forwarding::service_roll_outs{};
     late.update({order(state::staged_roll_out_state::running)}, at(100s));
     late.hear(state::instance_id{"early"}, forwarding::report_scope::subtree,
@@ -420,14 +448,22 @@
 
 BOOST_AUTO_TEST_CASE(answers_far_slower_than_usual_are_found)
 {
-    auto detector = forwarding::slow_answer_detector{};
-    const auto model = state::model_name{"small"};
-    BOOST_TEST(!detector.is_slow("inquiry", model, 10s));
-    for (auto i = 0; i < 10; ++i)
-        detector.record("inquiry", model, 20ms);
-    BOOST_TEST(!detector.is_slow("inquiry", model, 40ms));
-    BOOST_TEST(detector.is_slow("inquiry", model, 160ms));
-    BOOST_TEST(!detector.is_slow("other", model, 160ms));
+    for (const auto factor : {1.0, 2.0, 8.0}) {
+        auto roll_outs = forwarding::service_roll_outs{};
+        roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+        record_times(roll_outs, factor, at(9s));
+        BOOST_TEST(roll_outs.judge(at(10s)).size() == (factor > 1.0 ? 1U : 0U));
+        // Times of the new version do not become the standard for the next ones.
+        record_times(roll_outs, factor, at(10s));
+        BOOST_TEST((roll_outs.share(service, at(11s)) > 0.0) == (factor == 1.0));
+    }
+    // Without times of the old version nothing is known to be slow.
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    const auto work = coordination::roll_out::work_kind{.route_ = "inquiry", .model_ = "small"};
+    for (auto number = 0; number < 40; ++number)
+        roll_outs.record_time(service, new_version, work, state::endpoint_id{"e"}, at(9s), 10s, at(9s));
+    BOOST_TEST(roll_outs.judge(at(10s)).empty());
 }
 
 BOOST_AUTO_TEST_CASE(poor_answers_are_asked_for_again_while_endpoints_have_time)
--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -18,16 +18,25 @@
 {
     auto message =
         peer_message{.from_ = state::instance_id{"front-1"}, .scope_ = forwarding::report_scope::subtree};
+    auto times = coordination::roll_out::time_histogram{};
+    times.add(57, 3);
+    times.add(60);
     message.roll_outs_ = {.life_ = state::incarnation{0xffff'ffff'ffff'ffffULL},
                           .counts_ = {{.key_ = {.service_ = state::service_name{"advisor"},
                                                 .version_ = state::version_name{"v2"},
                                                 .route_ = "inquiry",
                                                 .endpoint_group_ = 3},
                                        .counts_ = {.good_ = 7, .bad_ = 2}}},
+                          .times_ = {{.key_ = {.service_ = state::service_name{"advisor"},
+                                               .version_ = state::version_name{"v2"},
+                                               .work_ = {.route_ = "inquiry", .model_ = "small"},
+                                               .endpoint_group_ = 3},
+                                      .times_ = times}},
                           .ages_ = {{.service_ = state::service_name{"advisor"},
                                      .created_ = 41,
                                      .age_ = std::chrono::milliseconds{1500},
-                                     .is_halted_ = true}}};
+                                     .is_halted_ = true,
+                                     .is_accepted_ = true}}};
     message.crashes_ = {{.endpoint_ = state::endpoint_id{"e1"},
                          .content_ = state::content_fingerprint{0x8000'0000'0000'0001ULL}}};
     message.work_ = {{.endpoint_ = state::endpoint_id{"e1"}, .pending_ = std::chrono::milliseconds{240}}};
@@ -50,6 +59,10 @@
     BOOST_TEST(received.roll_outs_.counts_.front().counts_.bad_ == 2);
     BOOST_REQUIRE(received.roll_outs_.ages_.size() == 1U);
     BOOST_TEST(received.roll_outs_.ages_.front().is_halted_);
+    BOOST_TEST(received.roll_outs_.ages_.front().is_accepted_);
+    BOOST_REQUIRE(received.roll_outs_.times_.size() == 1U);
+    BOOST_TEST((received.roll_outs_.times_.front().key_ == sent.roll_outs_.times_.front().key_));
+    BOOST_TEST((received.roll_outs_.times_.front().times_ == sent.roll_outs_.times_.front().times_));
     BOOST_REQUIRE(received.crashes_.size() == 1U);
     BOOST_TEST((received.crashes_.front().content_ == sent.crashes_.front().content_));
     BOOST_TEST((received.work_ == sent.work_));
