--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -46,7 +46,7 @@
         const auto is_restarted = known.endpoint_.incarnation_ != endpoint.incarnation_ ||
                                   known.endpoint_.address_ != endpoint.address_;
         if (is_restarted) {
-            known.has_announced_leaving_ = false;
+            known.has_wrong_address_ = false;
             known.consecutive_failures_ = 0;
             known.ejected_until_ = {};
         }
@@ -63,23 +63,37 @@
     });
 }
 
+auto endpoint_pool::is_candidate(const entry& known, const pool_query& query) const -> bool
+{
+    const auto is_available = known.is_listed_ && !known.has_wrong_address_ &&
+                              !known.endpoint_.is_draining_ && !leaving_.includes(known.endpoint_);
+    return is_available && known.endpoint_.service_ == query.service_ &&
+           query.version_.allows(known.endpoint_.version_);
+}
+
 auto endpoint_pool::candidates(const pool_query& query) const -> std::vector<const entry*>
 {
     auto found = std::vector<const entry*>{};
     for (const auto& [id, known] : entries_) {
-        const auto is_available =
-            known.is_listed_ && !known.has_announced_leaving_ && !known.endpoint_.is_draining_;
-        if (is_available && known.endpoint_.service_ == query.service_ &&
-            query.version_.allows(known.endpoint_.version_))
+        if (is_candidate(known, query))
             found.push_back(&known);
     }
     return found;
 }
 
+auto endpoint_pool::is_ejected(const state::endpoint_id& id, state::time_point now) const -> bool
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && found->second.ejected_until_ > now;
+}
+
 auto endpoint_pool::choose(const pool_query& query, state::time_point now, std::uint64_t random) const
     -> std::optional<pool_choice>
 {
-    const auto usable = candidates(query);
+    auto usable = candidates(query);
+    std::erase_if(usable, [this, now](const entry* known) {
+        return pauses_.next_request_at(known->endpoint_.id_, now) > now;
+    });
     if (usable.empty())
         return std::nullopt;
     if (!query.affinity_.empty())
@@ -89,6 +103,21 @@
     return pool_choice{.endpoint_ = best->endpoint_.id_, .queue_ = queue, .expected_ = queue + query.work_};
 }
 
+auto endpoint_pool::next_request_at(const pool_query& query, state::time_point now) const
+    -> std::optional<state::time_point>
+{
+    auto earliest = std::optional<state::time_point>{};
+    for (const auto& [id, known] : entries_) {
+        if (!is_candidate(known, query))
+            continue;
+        const auto time = pauses_.next_request_at(id, now);
+        if (time <= now)
+            return now;
+        earliest = std::min(earliest.value_or(time), time);
+    }
+    return earliest;
+}
+
 auto endpoint_pool::queueing_delay(const entry& known, const pool_query& query) -> state::duration
 {
     const auto pending = known.own_pending_ + known.remote_pending_;
@@ -294,10 +323,21 @@
         known->ejected_until_ = std::max(known->ejected_until_, now + full_ejection_time);
 }
 
-auto endpoint_pool::mark_leaving(const state::endpoint_id& id) -> void
+auto endpoint_pool::mark_leaving(const state::endpoint_id& id, state::time_point now)
+    -> std::optional<leaving_endpoint>
+{
+    const auto* known = find(id);
+    if (known == nullptr)
+        return std::nullopt;
+    const auto leaving = leaving_endpoint{
+        .endpoint_ = id, .incarnation_ = known->incarnation_, .registered_at_ = known->registered_at_};
+    return leaving_.add(leaving, now) ? std::optional{leaving} : std::nullopt;
+}
+
+auto endpoint_pool::mark_wrong_address(const state::endpoint_id& id) -> void
 {
     if (auto* known = find_entry(id))
-        known->has_announced_leaving_ = true;
+        known->has_wrong_address_ = true;
 }
 
 auto endpoint_pool::in_flight(const state::service_name& service) const -> std::int32_t
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission/latency_window.hpp"
+#include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_pool.hpp"
 #include "coordination/forwarding/first_byte_forecast.hpp"
 #include "coordination/forwarding/first_byte_latency.hpp"
@@ -11,7 +12,6 @@
 #include "coordination/forwarding/model_choice.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
-#include "coordination/forwarding/slow_answer_detector.hpp"
 #include "coordination/forwarding/stalled_attempt.hpp"
 #include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/retry/retry_budget.hpp"
@@ -20,6 +20,7 @@
 #include "coordination/time/random_source.hpp"
 #include "state/routing_table.hpp"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +35,10 @@
     state::attempt_handle attempt_;
     /// The model's confidence in its answer, from 0 to 100, if reported.
     std::optional<std::int32_t> confidence_;
+    state::endpoint_id endpoint_;
+    endpoint_notice notice_;
+    /// False if only the notice is to be applied, as for the headers of an error response.
+    bool is_success_{true};
 };
 
 /// Makes every decision about forwarded requests: route, owner, version, model, endpoint, retry, resumption
@@ -96,6 +101,12 @@
         suspects_.add_remote(content, endpoint, clock_.now());
     }
 
+    /// Excludes an endpoint from new requests that announced its shutdown to another instance.
+    auto record_remote_leaving(const leaving_endpoint& leaving) -> void
+    {
+        pool_.record_remote_leaving(leaving, clock_.now());
+    }
+
     auto response_headers_received(const response_headers& headers) -> void;
     auto attempt_ended(const forward_attempt_result& result) -> void;
     /// Moves a stalled stream to another endpoint if one accepts it and the retry budget allows it;
@@ -136,6 +147,10 @@
         state::duration work_{0};
         /// Work that was queued at the endpoint ahead of this attempt.
         state::duration queue_{0};
+        /// Whether the attempt replaces one that was silent.
+        bool is_replacement_{false};
+        /// Whether the attempt already counted as evidence, because it stalled.
+        bool is_judged_{false};
     };
 
     struct entry {
@@ -151,13 +166,16 @@
         /// The service whose latency window the request waits for; empty if it is not queued.
         std::optional<state::service_name> waits_for_;
         std::int32_t attempts_{0};
-        /// Unreachable endpoints tried; these do not count as attempts.
+        /// Endpoints tried that could not be reached, or that declined the rest of a stream; these do not
+        /// count as attempts.
         std::int32_t unreachable_count_{0};
         bool may_have_run_{false};
         /// Whether the choice of model is final.
         bool is_model_settled_{false};
         /// Whether events were delivered to the caller.
         bool is_released_{false};
+        /// Whether a stream that was begun waits for an endpoint that accepts the rest.
+        bool awaits_resumption_{false};
         std::string last_event_;
         state::model_name model_;
         /// Service and version of the last attempt.
@@ -171,13 +189,23 @@
     /// Starts queued requests, the most urgent first, as far as the latency windows admit them.
     auto dispatch_queued() -> void;
     auto sweep_waiting(state::time_point now) -> void;
+    /// When a queued request is refused.
+    static auto last_wait(const entry& item) -> state::time_point;
     auto sweep_expired(state::time_point now) -> void;
     /// Abandons attempts with late response headers if another attempt is likely to be faster.
     auto sweep_late_attempts(state::time_point now) -> void;
+    /// Starts attempts for the streams that wait for an endpoint.
+    auto resume_waiting_streams() -> void;
+    /// Lets the rest of a stream wait for an endpoint that accepts it.
+    auto await_resumption(entry& item) -> void;
+    /// Starts an attempt for the rest of a stream unless no endpoint or no retry is left.
+    auto resume_stream(entry& item) -> void;
     auto abandon_attempt(entry& item) -> running_attempt;
     /// Abandons a running attempt that sends nothing and starts another one. Returns false, and leaves the
     /// attempt running, if no other endpoint accepts the request or the retry budget is exhausted.
     auto replace_silent_attempt(entry& item, const std::string& reason) -> bool;
+    /// Whether as many replacements wait for their response headers as may be without one.
+    auto are_replacements_unconfirmed(std::ptrdiff_t max_unconfirmed) const -> bool;
     auto start(entry& item, const state::service_name& service, const std::string& reason) -> void;
     auto start_next_attempt(entry& item, const std::string& reason) -> void;
     auto query_for(const entry& item, const state::service_name& service, const state::model_name& model)
@@ -190,20 +218,25 @@
     auto detach_attempt(entry& item) -> running_attempt;
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
+    auto apply_notice(const state::endpoint_id& endpoint, const endpoint_notice& notice) -> void;
     auto close_attempt(entry& item, const forward_attempt_result& result) -> running_attempt;
     auto update_endpoint_state(const entry& item, const running_attempt& attempt,
                                const forward_attempt_result& result) -> void;
     auto record_evidence(const entry& item, const running_attempt& attempt,
                          const forward_attempt_result& result) -> void;
+    auto record_time(const entry& item, const running_attempt& attempt, roll_out::time_measure measure,
+                     state::duration time) -> void;
     auto continue_after(entry& item, const running_attempt& attempt, const forward_attempt_result& result)
         -> void;
     auto can_retry(const entry& item, const running_attempt& attempt, forward_outcome outcome) -> bool;
     /// Whether the request may run again, apart from the retry budget.
-    auto may_run_again(const entry& item, forward_outcome outcome) const -> bool;
+    auto may_run_again(const entry& item, forward_outcome outcome) -> bool;
     auto pin_session(const entry& item) -> void;
     auto finish(entry& item, state::attempt_handle attempt) -> void;
     auto refuse(entry& item, state::error_kind kind, const std::string& detail) -> void;
     auto retry_after() -> state::duration;
+    /// The time until an endpoint accepts the request; zero unless all endpoints pause.
+    auto pause_left(const entry& item) -> state::duration;
     auto log(const entry& item, std::string action, std::string reason) -> void;
     auto find(state::attempt_handle attempt) -> entry*;
 
@@ -218,7 +251,6 @@
     endpoint_pool pool_;
     service_roll_outs roll_outs_;
     session_pins pins_;
-    slow_answer_detector slow_answer_detector_;
     first_byte_latency first_byte_latency_;
     first_byte_forecast forecast_;
     work_exchange work_;
@@ -228,6 +260,8 @@
     std::map<state::request_handle, entry> entries_;
     std::map<state::attempt_handle, state::request_handle> owners_;
     state::attempt_handle last_attempt_;
+    /// When the waiting streams may try an endpoint again after one declined.
+    state::time_point next_resumption_{};
     std::optional<state::time_point> stop_began_;
 };
 
--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -4,11 +4,11 @@
 
 #include "protocol/caller/problem.hpp"
 #include "state/error.hpp"
+#include "transport/logging/failure_log.hpp"
 #include "transport/logging/logger.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,9 +19,12 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/ssl/ssl_stream.hpp>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <chrono>
+#include <exception>
 
 namespace buckthorndale::transport::http {
 
@@ -41,6 +44,17 @@
 /// Buffer size for the first bytes of a request, which are read while the connection is idle.
 constexpr auto first_read_size = std::size_t{4096};
 
+/// Fractions of the limit of connections from which on a server counts as crowded, and below which it no
+/// longer does.
+constexpr auto crowded_fraction = 0.9;
+constexpr auto uncrowded_fraction = 0.8;
+
+/// When callers that were refused may come again.
+constexpr auto refusal_retry_after = "1";
+
+/// Interval at which a caller's connection is checked while bytes of its next request lie unread.
+constexpr auto unread_check_interval = state::duration{std::chrono::milliseconds{100}};
+
 /// Bytes read at a time while the rest of a rejected request is discarded.
 constexpr auto discard_size = std::size_t{16'384};
 
@@ -74,6 +88,25 @@
                          protocol::caller::problem_text(fault));
 }
 
+auto late_request_response() -> response
+{
+    constexpr auto status = 408U;
+    return make_response(status, protocol::caller::problem_media_type,
+                         protocol::caller::problem_text(status, "request-timeout",
+                                                        "The request was not complete in time.",
+                                                        coordination::routing::run_state::not_run));
+}
+
+/// The answer to a request whose handler failed in a way that nothing provides for.
+auto failure_response() -> response
+{
+    constexpr auto status = 500U;
+    return make_response(status, protocol::caller::problem_media_type,
+                         protocol::caller::problem_text(
+                             status, "internal-error", "The instance failed on the request; it may have run.",
+                             coordination::routing::run_state::unknown));
+}
+
 } // namespace
 
 /// A connection: reads requests and passes each to the handler.
@@ -81,32 +114,55 @@
 class server::connection : public exchange, public std::enable_shared_from_this<connection<Stream>> {
 public:
     connection(Stream stream, std::shared_ptr<shared_state> shared)
-        : stream_{std::move(stream)}, shared_{std::move(shared)}
-    {
-        ++shared_->open_connections_;
-    }
+        : stream_{std::move(stream)}, shared_{std::move(shared)}, timer_{stream_.get_executor()}
+    {}
 
-    ~connection() override { --shared_->open_connections_; }
+    ~connection() override = default;
 
     connection(const connection&) = delete;
     auto operator=(const connection&) -> connection& = delete;
 
     auto run() -> awaitable<void>
     {
-        set_timeout(shared_->settings_.request_timeout_);
-        co_await handshake(stream_);
-        while (true) {
-            const auto has_request = co_await read_request();
-            if (!has_request)
-                break;
-            is_answered_ = false;
-            co_await answer();
-            if (!is_complete_ || !is_reusable())
-                break;
+        auto failure = std::exception_ptr{};
+        try {
+            co_await serve_requests();
+        } catch (...) {
+            failure = std::current_exception();
         }
+        if (progress_ && !is_complete_)
+            report_incomplete_answer();
+        // A pending wait for the caller's disconnect shares ownership of the connection and ends here.
+        on_disconnect_ = {};
+        stop_timer();
         close();
+        if (failure)
+            std::rethrow_exception(failure);
     }
 
+    /// Reads a request up to the end of its headers and answers 503.
+    auto refuse() -> awaitable<void>
+    {
+        const auto timeout = shared_->settings_.refusal_timeout_;
+        set_timeout(timeout);
+        co_await handshake(stream_);
+        auto parser = beast::http::request_parser<beast::http::string_body>{};
+        parser.header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
+        co_await beast::http::async_read_header(stream_, buffer_, parser, use_awaitable);
+        progress_.emplace();
+        auto answer = problem_response({state::error_kind::no_capacity,
+                                        "This instance has reached its limit of connections.",
+                                        "Send the request again later, over a new connection."});
+        answer.set(beast::http::field::retry_after, refusal_retry_after);
+        answer.keep_alive(false);
+        co_await write(to_wire(answer), timeout);
+        is_complete_ = true;
+        co_await discard_rest(timeout);
+        close();
+    }
+
+    auto is_complete() const -> bool { return is_complete_; }
+
     auto message() const -> const request& override { return request_; }
 
     auto send(response answer) -> awaitable<void> override
@@ -126,6 +182,7 @@
 
     auto send_chunk(std::string_view bytes) -> awaitable<void> override
     {
+        ++progress_->chunks_sent_;
         return write(to_wire_chunk(bytes));
     }
 
@@ -135,37 +192,144 @@
         is_complete_ = true;
     }
 
-    auto abort() -> void override
+    using exchange::abort;
+
+    auto abort(std::string_view reason) -> void override
     {
+        end_by(connection_side::instance, std::string{reason});
         is_aborted_ = true;
         close();
     }
 
+    auto set_label(std::string label) -> void override { progress_->label_ = std::move(label); }
+
     auto watch_for_disconnect(std::function<void()> on_disconnect) -> void override
     {
         on_disconnect_ = std::move(on_disconnect);
         // No timeout while waiting; each write of the response sets its own.
         beast::get_lowest_layer(stream_).expires_never();
-        auto self = this->shared_from_this();
-        beast::get_lowest_layer(stream_).socket().async_wait(
-            asio::ip::tcp::socket::wait_read,
-            [self](boost::system::error_code fault) { self->check_for_disconnect(fault); });
+        wait_for_input();
     }
 
 private:
-    auto check_for_disconnect(boost::system::error_code fault) -> void
+    /// A request from its first byte on, and how much of its answer was sent.
+    struct request_progress {
+        std::chrono::steady_clock::time_point began_at_{std::chrono::steady_clock::now()};
+        std::string label_;
+        std::size_t bytes_sent_{0};
+        std::size_t chunks_sent_{0};
+    };
+
+    /// Why an answer stays incomplete.
+    struct ending {
+        connection_side side_{connection_side::instance};
+        std::string reason_;
+    };
+
+    /// Records why the answer stays incomplete; what was noticed first is the cause.
+    auto end_by(connection_side side, std::string reason) -> void
+    {
+        if (!ending_)
+            ending_ = ending{.side_ = side, .reason_ = std::move(reason)};
+    }
+
+    auto report_incomplete_answer() -> void
     {
-        if (fault || !on_disconnect_)
+        end_by(connection_side::instance, "the handler ended without a response");
+        const auto is_caller = ending_->side_ == connection_side::caller;
+        auto& counts = shared_->counts_;
+        ++(is_caller ? counts.incomplete_by_caller_ : counts.incomplete_by_instance_);
+        const auto now = std::chrono::steady_clock::now();
+        if (!shared_->incomplete_lines_.admits(now))
             return;
-        auto byte = char{};
-        const auto received = ::recv(beast::get_lowest_layer(stream_).socket().native_handle(), &byte, 1,
-                                     MSG_PEEK | MSG_DONTWAIT);
-        const auto has_bytes = received > 0;
-        const auto is_open = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (has_bytes || is_open)
+        const auto age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - progress_->began_at_).count();
+        const auto skipped = shared_->incomplete_lines_.take_skipped();
+        auto line = std::string{"incomplete answer "};
+        if (!progress_->label_.empty())
+            line.append(progress_->label_).append(" ");
+        line.append("closed_by=").append(is_caller ? "caller" : "instance");
+        line.append(" reason=\"").append(ending_->reason_).append("\"");
+        line.append(" bytes_sent=").append(std::to_string(progress_->bytes_sent_));
+        line.append(" chunks_sent=").append(std::to_string(progress_->chunks_sent_));
+        line.append(" after_ms=").append(std::to_string(age));
+        if (skipped > 0)
+            line.append(" lines_skipped=").append(std::to_string(skipped));
+        if (is_caller)
+            log().info(line);
+        else
+            log().warn(line);
+    }
+
+    auto serve_requests() -> awaitable<void>
+    {
+        set_timeout(shared_->settings_.request_timeout_);
+        co_await handshake(stream_);
+        while (true) {
+            const auto has_request = co_await read_request();
+            if (!has_request)
+                break;
+            is_answered_ = false;
+            co_await answer();
+            if (!is_complete_ || !is_reusable())
+                break;
+        }
+    }
+
+    auto wait_for_input() -> void
+    {
+        if (std::exchange(is_waiting_for_input_, true))
             return;
+        auto self = this->shared_from_this();
+        beast::get_lowest_layer(stream_).socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                                             [self](boost::system::error_code fault) {
+                                                                 self->is_waiting_for_input_ = false;
+                                                                 if (!fault)
+                                                                     self->check_for_disconnect();
+                                                             });
+    }
+
+    auto check_for_disconnect() -> void
+    {
+        if (!on_disconnect_)
+            return;
+        auto status = ::pollfd{.fd = beast::get_lowest_layer(stream_).socket().native_handle(),
+                               .events = POLLIN | POLLRDHUP};
+        ::poll(&status, 1, 0);
+        const auto events = static_cast<unsigned>(status.revents);
+        if ((events & (POLLRDHUP | POLLHUP | POLLERR)) == 0) {
+            // Waiting for input would end at once while bytes of the next request lie unread.
+            if ((events & POLLIN) == 0)
+                wait_for_input();
+            else
+                call_after(unread_check_interval, [this] { check_for_disconnect(); });
+            return;
+        }
+        end_by(connection_side::caller, "the caller closed its side");
         const auto notify = std::exchange(on_disconnect_, {});
         notify();
+        // Ends a write that is in progress.
+        abort();
+    }
+
+    /// Calls a function after a time unless the timer is stopped before.
+    template <typename Function>
+    auto call_after(state::duration timeout, Function function) -> void
+    {
+        timer_.expires_after(timeout);
+        timer_.async_wait([self = this->weak_from_this(), round = ++timer_round_,
+                           function](boost::system::error_code fault) {
+            const auto owner = self.lock();
+            if (!fault && owner && owner->timer_round_ == round)
+                function();
+        });
+    }
+
+    /// Also holds back a call that is already on its way.
+    auto stop_timer() -> void
+    {
+        ++timer_round_;
+        timer_.cancel();
     }
 
     auto set_timeout(state::duration timeout) -> void
@@ -177,23 +341,38 @@
     /// the request was rejected.
     auto read_request() -> awaitable<bool>
     {
-        auto parser = beast::http::request_parser<beast::http::string_body>{};
-        parser.header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
-        parser.body_limit(shared_->settings_.max_body_bytes_);
         auto fault = boost::system::error_code{};
         if (buffer_.size() == 0) {
-            set_timeout(shared_->settings_.idle_timeout_);
-            shared_->idle_.insert_or_assign(this, [this] { close(); });
+            beast::get_lowest_layer(stream_).expires_never();
+            call_after(shared_->settings_.idle_timeout_, [this] { end_idle_time(); });
+            shared_->idle_.insert_or_assign(this, [this] { close_if_unused(); });
             const auto received = co_await stream_.async_read_some(
                 buffer_.prepare(first_read_size), asio::redirect_error(use_awaitable, fault));
             shared_->idle_.erase(this);
+            stop_timer();
             if (fault)
                 co_return false;
             buffer_.commit(received);
         }
-        set_timeout(shared_->settings_.request_timeout_);
+        auto parser = beast::http::request_parser<beast::http::string_body>{};
+        parser.header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
+        parser.body_limit(shared_->settings_.max_body_bytes_);
+        progress_.emplace();
+        is_complete_ = false;
+        auto is_late = false;
+        // A timeout of the stream would close the socket, which is needed for the answer.
+        beast::get_lowest_layer(stream_).expires_never();
+        call_after(shared_->settings_.request_timeout_, [this, &is_late] {
+            is_late = true;
+            beast::get_lowest_layer(stream_).cancel();
+        });
         co_await beast::http::async_read(stream_, buffer_, parser,
                                          asio::redirect_error(use_awaitable, fault));
+        stop_timer();
+        if (fault && is_late) {
+            co_await reject(late_request_response());
+            co_return false;
+        }
         if (fault) {
             co_await reject_unreadable(fault);
             co_return false;
@@ -202,32 +381,60 @@
         co_return true;
     }
 
+    auto end_idle_time() -> void
+    {
+        // Unread bytes may turn out to be no request, such as a part of a TLS record.
+        if (!close_if_unused())
+            call_after(unread_check_interval, [this] { end_idle_time(); });
+    }
+
+    /// Closes an idle connection unless its next request lies unread in the socket.
+    auto close_if_unused() -> bool
+    {
+        auto byte = char{};
+        const auto received = ::recv(beast::get_lowest_layer(stream_).socket().native_handle(), &byte, 1,
+                                     MSG_PEEK | MSG_DONTWAIT);
+        if (received > 0)
+            return false;
+        // Closing would drop the answer if the first bytes of a request have been read but not yet handled.
+        beast::get_lowest_layer(stream_).cancel();
+        return true;
+    }
+
     auto reject_unreadable(boost::system::error_code fault) -> awaitable<void>
     {
         using beast::http::error;
         const auto is_too_large = fault == error::body_limit || fault == error::header_limit;
         const auto is_malformed = fault.category() == make_error_code(error::bad_method).category() &&
                                   fault != error::end_of_stream && fault != error::partial_message;
-        if (!is_too_large && !is_malformed)
+        if (!is_too_large && !is_malformed) {
+            end_by(connection_side::caller, "the request is incomplete: " + fault.message());
             co_return;
+        }
         const auto kind = is_too_large ? state::error_kind::too_large : state::error_kind::invalid_request;
-        auto answer = problem_response({kind, "The request cannot be read: " + fault.message() + ".",
-                                        "Send a smaller request, or correct it."});
+        co_await reject(problem_response({kind, "The request cannot be read: " + fault.message() + ".",
+                                          "Send a smaller request, or correct it."}));
+    }
+
+    /// Answers a request that was not read to its end, and closes the connection.
+    auto reject(response answer) -> awaitable<void>
+    {
         answer.keep_alive(false);
         co_await write(to_wire(answer));
-        co_await discard_rest();
+        is_complete_ = true;
+        co_await discard_rest(shared_->settings_.discard_timeout_);
     }
 
     /// Reads and discards for a limited time after a rejection. Closing a socket with unread bytes resets the
     /// connection, and a caller that is still sending could lose the response.
-    auto discard_rest() -> awaitable<void>
+    auto discard_rest(state::duration timeout) -> awaitable<void>
     {
         auto fault = boost::system::error_code{};
         auto& transport = beast::get_lowest_layer(stream_);
         transport.socket().shutdown(asio::ip::tcp::socket::shutdown_send, fault);
         auto discarded = std::size_t{0};
         auto bytes = std::array<char, discard_size>{};
-        set_timeout(shared_->settings_.discard_timeout_);
+        set_timeout(timeout);
         while (!fault && discarded < shared_->settings_.max_discarded_bytes_) {
             discarded += co_await transport.async_read_some(asio::buffer(bytes),
                                                             asio::redirect_error(use_awaitable, fault));
@@ -236,22 +443,47 @@
 
     auto write(std::string bytes) -> awaitable<void>
     {
-        set_timeout(shared_->settings_.write_timeout_);
-        co_await asio::async_write(stream_, asio::buffer(bytes), use_awaitable);
+        return write(std::move(bytes), shared_->settings_.write_timeout_);
+    }
+
+    auto write(std::string bytes, state::duration timeout) -> awaitable<void>
+    {
+        set_timeout(timeout);
+        auto fault = boost::system::error_code{};
+        progress_->bytes_sent_ += co_await asio::async_write(stream_, asio::buffer(bytes),
+                                                             asio::redirect_error(use_awaitable, fault));
+        if (!fault)
+            co_return;
+        if (fault == beast::error::timeout)
+            end_by(connection_side::instance, "the caller did not read the answer in time");
+        else
+            end_by(connection_side::caller, "the answer could not be sent: " + fault.message());
+        throw boost::system::system_error{fault};
     }
 
     auto answer() -> awaitable<void>
     {
-        is_complete_ = false;
         auto problem = std::optional<response>{};
+        auto failure = std::string{};
         try {
             co_await shared_->handler_(*this);
         } catch (const state::error& fault) {
             problem = problem_response(fault);
+            failure = fault.what();
+        } catch (const std::exception& fault) {
+            // A write that failed has recorded why the answer ends.
+            if (ending_)
+                throw;
+            problem = failure_response();
+            failure = fault.what();
+            log().error("handler failed " + progress_->label_ + " reason=\"" + failure + "\"");
         }
         on_disconnect_ = {};
+        stop_timer();
         if (problem && !is_answered_)
             co_await send(std::move(*problem));
+        else if (problem)
+            end_by(connection_side::instance, "the handler failed: " + failure);
     }
 
     auto is_reusable() const -> bool
@@ -270,13 +502,67 @@
     Stream stream_;
     std::shared_ptr<shared_state> shared_;
     beast::flat_buffer buffer_;
+    asio::steady_timer timer_;
+    std::uint64_t timer_round_{0};
     request request_;
     std::function<void()> on_disconnect_;
+    std::optional<request_progress> progress_;
+    std::optional<ending> ending_;
+    bool is_waiting_for_input_{false};
     bool is_answered_{false};
     bool is_complete_{false};
     bool is_aborted_{false};
 };
 
+auto server::shared_state::add_connection() -> void
+{
+    ++counts_.open_connections_;
+    const auto limit = static_cast<double>(settings_.max_connections_) * crowded_fraction;
+    if (is_crowded_ || static_cast<double>(counts_.open_connections_) < limit)
+        return;
+    is_crowded_ = true;
+    log().warn("limit near limit=connections open=" + std::to_string(counts_.open_connections_) +
+               " max=" + std::to_string(settings_.max_connections_));
+}
+
+auto server::shared_state::remove_connection() -> void
+{
+    --counts_.open_connections_;
+    const auto limit = static_cast<double>(settings_.max_connections_) * uncrowded_fraction;
+    if (!is_crowded_ || static_cast<double>(counts_.open_connections_) > limit)
+        return;
+    is_crowded_ = false;
+    is_at_limit_ = false;
+    log().info("limit left limit=connections open=" + std::to_string(counts_.open_connections_) +
+               " max=" + std::to_string(settings_.max_connections_) + " refused=" +
+               std::to_string(counts_.refused_ - std::exchange(refused_before_, counts_.refused_)));
+}
+
+auto server::shared_state::record_limit_reached() -> void
+{
+    if (std::exchange(is_at_limit_, true))
+        return;
+    log().warn("limit reached limit=connections open=" + std::to_string(counts_.open_connections_) +
+               " max=" + std::to_string(settings_.max_connections_));
+}
+
+/// Counts one open connection for as long as it lives.
+class server::connection_place {
+public:
+    explicit connection_place(std::shared_ptr<shared_state> shared) : shared_{std::move(shared)}
+    {
+        shared_->add_connection();
+    }
+
+    ~connection_place() { shared_->remove_connection(); }
+
+    connection_place(const connection_place&) = delete;
+    auto operator=(const connection_place&) -> connection_place& = delete;
+
+private:
+    std::shared_ptr<shared_state> shared_;
+};
+
 server::server(asio::io_context& context, server_settings settings, exchange_handler handler)
     : context_{context}, shared_{std::make_shared<shared_state>()}, acceptor_{context}
 {
@@ -300,7 +586,7 @@
 
 auto server::start() -> void
 {
-    asio::co_spawn(context_, accept_connections(), asio::detached);
+    asio::co_spawn(context_, accept_connections(), logging::failure_log{"http", "accept_connections"});
 }
 
 auto server::stop_accepting() -> void
@@ -326,6 +612,13 @@
     shared_->settings_.idle_timeout_ = limits.idle_limit_;
 }
 
+auto server::counts() const -> server_counts
+{
+    auto counts = shared_->counts_;
+    counts.max_connections_ = shared_->settings_.max_connections_;
+    return counts;
+}
+
 auto server::port() const -> std::uint16_t
 {
     return acceptor_.local_endpoint().port();
@@ -343,14 +636,42 @@
             co_await timer.async_wait(use_awaitable);
             continue;
         }
-        // Above the limit a connection is closed at once, which the load balancer treats as a refusal.
-        if (shared_->open_connections_ >= shared_->settings_.max_connections_)
-            continue;
-        asio::co_spawn(context_, serve(std::move(socket)), asio::detached);
+        if (shared_->counts_.open_connections_ < shared_->settings_.max_connections_)
+            asio::co_spawn(context_, serve(std::move(socket)), logging::failure_log{"http", "serve"});
+        else
+            asio::co_spawn(context_, refuse(std::move(socket)), logging::failure_log{"http", "refuse"});
     }
 }
 
 auto server::serve(asio::ip::tcp::socket socket) -> awaitable<void>
+{
+    const auto place = connection_place{shared_};
+    co_await run_connection(std::move(socket), [](auto& accepted) { return accepted.run(); });
+}
+
+auto server::refuse(asio::ip::tcp::socket socket) -> awaitable<void>
+{
+    const auto shared = shared_;
+    auto& counts = shared->counts_;
+    shared->record_limit_reached();
+    ++counts.refused_;
+    if (counts.open_refusals_ >= shared->settings_.max_refusals_) {
+        ++counts.refused_without_answer_;
+        co_return;
+    }
+    ++counts.open_refusals_;
+    auto is_answered = false;
+    co_await run_connection(std::move(socket), [&is_answered](auto& accepted) -> awaitable<void> {
+        co_await accepted.refuse();
+        is_answered = accepted.is_complete();
+    });
+    --counts.open_refusals_;
+    if (!is_answered)
+        ++counts.refused_without_answer_;
+}
+
+template <typename Run>
+auto server::run_connection(asio::ip::tcp::socket socket, Run run) -> awaitable<void>
 {
     auto ignored = boost::system::error_code{};
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
@@ -360,11 +681,11 @@
             using tls_stream = beast::ssl_stream<beast::tcp_stream>;
             auto accepted =
                 std::make_shared<connection<tls_stream>>(tls_stream{std::move(stream), *tls_}, shared_);
-            co_await accepted->run();
+            co_await run(*accepted);
             co_return;
         }
         auto accepted = std::make_shared<connection<beast::tcp_stream>>(std::move(stream), shared_);
-        co_await accepted->run();
+        co_await run(*accepted);
     } catch (const boost::system::system_error& fault) {
         log().debug(std::string{"Connection failed: "} + fault.what());
     }
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -56,6 +56,8 @@
     bool has_sent_headers_{false};
     /// Id of the last event that was queued for the caller.
     std::string last_event_;
+    /// Whether the decision worker has finished or refused the request and forgotten it.
+    bool is_decided_{false};
     state::time_point arrived_at_;
 };
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -7,12 +7,13 @@
 #include "state/invariant.hpp"
 #include "state/overloaded.hpp"
 #include "transport/http/query.hpp"
+#include "transport/logging/failure_log.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <exception>
 
 namespace buckthorndale::services::front {
 
@@ -34,25 +35,34 @@
     return {.address_ = settings.probe_address_, .max_connections_ = max_probe_connections};
 }
 
+/// Between reports of the same stall, since an endpoint that accepts the stream may appear meanwhile.
+constexpr auto stall_report_interval = state::duration{std::chrono::milliseconds{500}};
 constexpr auto stall_check_interval = state::duration{std::chrono::milliseconds{100}};
 /// A longer time between two checks means that this process was paused.
 constexpr auto max_stall_check_interval = 2 * stall_check_interval;
 
+auto stop_connection(forward_attempt& attempt) -> void
+{
+    if (attempt.stream_)
+        attempt.stream_->cancel();
+}
+
 /// Cancels an attempt that waits for its release or for its endpoint.
 auto stop_attempt(forward_attempt& attempt) -> void
 {
     attempt.is_cancelled_ = true;
     attempt.release_timer_.cancel();
-    if (attempt.stream_)
-        attempt.stream_->cancel();
+    stop_connection(attempt);
 }
 
 } // namespace
 
-network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready)
-    : is_ready_{std::move(is_ready)}, client_{worker_.context(), http::client::endpoint_max_unacknowledged},
-      runner_{client_}, callers_{worker_.context(), caller_server_settings(settings),
-                                 [this](http::exchange& exchange) { return serve_caller(exchange); }},
+network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready,
+                               std::function<std::size_t()> decision_requests)
+    : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)},
+      client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_},
+      callers_{worker_.context(), caller_server_settings(settings),
+               [this](http::exchange& exchange) { return serve_caller(exchange); }},
       probes_{worker_.context(), probe_server_settings(settings),
               [this](http::exchange& exchange) { return serve_probe(exchange); }},
       stall_ticker_{worker_.context(), stall_check_interval, [this] { report_stalled_attempts(); }},
@@ -92,57 +102,88 @@
 {
     const auto path = http::split_target(exchange.message().target()).path_;
     if (path == "/metrics") {
-        co_await exchange.send(http::make_response(200, metrics_content_type, metrics_.page(calls_.size())));
+        co_await exchange.send(http::make_response(200, metrics_content_type, metrics_.page(load())));
         co_return;
     }
-    const auto is_ready = is_ready_();
+    // The load balancer sends new connections elsewhere before callers have to be refused.
+    const auto is_ready = is_ready_() && !callers_.is_crowded();
     co_await exchange.send(
         http::make_response(is_ready ? 200 : 503, text_content_type, is_ready ? "ready\n" : "not ready\n"));
 }
 
+auto network_worker::load() const -> network_load
+{
+    auto load =
+        network_load{.calls_ = calls_.size(), .attempts_ = attempts_.size(), .callers_ = callers_.counts()};
+    for (const auto& [handle, call] : calls_) {
+        if (call->is_decided_)
+            ++load.decided_calls_;
+        else if (call->has_sent_headers_)
+            ++load.streaming_calls_;
+    }
+    const auto undecided = load.calls_ - load.decided_calls_;
+    load.unknown_calls_ = undecided - std::min(undecided, decision_requests_());
+    return load;
+}
+
 auto network_worker::serve_caller(http::exchange& exchange) -> http::awaitable<void>
 {
     auto request = platform::read_request(exchange.message());
+    exchange.set_label("request=" + request.id_.text());
     last_handle_ = last_handle_.next();
     const auto handle = last_handle_;
     const auto call = std::make_shared<forwarded_call>(worker_.context(), handle, exchange.message());
     call->arrived_at_ = clock_.now();
     calls_.emplace(handle, call);
     open_calls_.store(calls_.size());
-    exchange.watch_for_disconnect([this, handle] { post_to_decision(caller_disconnected{handle}); });
-    post_to_decision(request_arrived{handle, std::move(request)});
-    auto has_failed = false;
+    exchange.watch_for_disconnect([this, handle] { end_call(handle); });
+    auto failure = std::exception_ptr{};
     try {
+        post_to_decision(request_arrived{handle, std::move(request)});
         co_await write_answer(exchange, *call);
-    } catch (const boost::system::system_error&) {
-        has_failed = true;
+    } catch (...) {
+        failure = std::current_exception();
     }
-    calls_.erase(handle);
+    end_call(handle);
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+auto network_worker::end_call(state::request_handle handle) -> void
+{
+    const auto found = calls_.find(handle);
+    if (found == calls_.end())
+        return;
+    const auto call = found->second;
+    calls_.erase(found);
     open_calls_.store(calls_.size());
-    if (has_failed) {
-        call->output_.close();
+    for (const auto& [attempt_handle, attempt] : call->attempts_)
+        stop_attempt(*attempt);
+    call->output_.close();
+    if (!call->is_decided_)
         post_to_decision(caller_disconnected{handle});
-        exchange.abort();
-    }
 }
 
 auto network_worker::write_answer(http::exchange& exchange, forwarded_call& call) -> http::awaitable<void>
 {
     while (true) {
         auto item = co_await call.output_.next();
-        if (auto* started = std::get_if<answer_started>(&item)) {
+        // The queue is closed when the caller has gone.
+        if (!item)
+            co_return;
+        if (auto* started = std::get_if<answer_started>(&*item)) {
             metrics_.record_first_event(clock_.now() - call.arrived_at_);
             co_await exchange.begin(std::move(started->headers_));
-        } else if (const auto* chunk = std::get_if<answer_chunk>(&item)) {
+        } else if (const auto* chunk = std::get_if<answer_chunk>(&*item)) {
             co_await exchange.send_chunk(chunk->bytes_);
-        } else if (auto* complete = std::get_if<complete_answer>(&item)) {
+        } else if (auto* complete = std::get_if<complete_answer>(&*item)) {
             co_await exchange.send(std::move(complete->answer_));
             co_return;
-        } else if (std::holds_alternative<answer_ended>(item)) {
+        } else if (std::holds_alternative<answer_ended>(*item)) {
             co_await exchange.end();
             co_return;
         } else {
-            exchange.abort();
+            exchange.abort(std::get<answer_aborted>(*item).reason_);
             co_return;
         }
     }
@@ -173,7 +214,8 @@
     call->attempts_.emplace(command.attempt_, attempt);
     attempts_.emplace(command.attempt_, attempt);
     metrics_.record_attempt();
-    http::asio::co_spawn(worker_.context(), run_attempt(call, std::move(attempt)), http::asio::detached);
+    http::asio::co_spawn(worker_.context(), run_attempt(call, std::move(attempt)),
+                         transport::logging::failure_log{"network", "run_attempt"});
 }
 
 auto network_worker::run_attempt(std::shared_ptr<forwarded_call> call,
@@ -182,8 +224,23 @@
     const auto on_headers = [this](const forwarding::response_headers& headers) {
         post_to_decision(headers);
     };
-    const auto result = co_await runner_.run(call, attempt, on_headers);
+    auto result = forwarding::forward_attempt_result{.attempt_ = attempt->command_.attempt_,
+                                                     .outcome_ = forwarding::forward_outcome::broken};
+    auto failure = std::string{};
+    try {
+        result = co_await runner_.run(call, attempt, on_headers);
+    } catch (const std::exception& fault) {
+        failure = fault.what();
+    }
     attempts_.erase(result.attempt_);
+    if (!failure.empty()) {
+        log_.error("attempt failed attempt=" + std::to_string(result.attempt_.value()) + " reason=\"" +
+                   failure + "\"");
+        stop_connection(*attempt);
+        // What the caller has received is not known to the result, so the stream cannot be resumed.
+        if (call->has_sent_headers_)
+            call->output_.push(answer_aborted{"the attempt failed: " + failure});
+    }
     if (!attempt->is_cancelled_)
         post_to_decision(result);
 }
@@ -198,11 +255,13 @@
         attempt->silent_for_ += elapsed;
         if (attempt->silent_for_ < attempt->next_stall_report_)
             continue;
-        attempt->next_stall_report_ += attempt->command_.stall_threshold_;
+        attempt->next_stall_report_ = attempt->silent_for_ + stall_report_interval;
         const auto call = find_call(attempt->command_.request_);
-        post_to_decision(forwarding::stalled_attempt{.attempt_ = handle,
-                                                     .last_event_ = call ? call->last_event_ : std::string{},
-                                                     .silent_for_ = attempt->silent_for_});
+        // The next report follows, so this one is dropped while the decision worker is behind.
+        decision_->try_push(
+            forwarding::stalled_attempt{.attempt_ = handle,
+                                        .last_event_ = call ? call->last_event_ : std::string{},
+                                        .silent_for_ = attempt->silent_for_});
     }
 }
 
@@ -227,15 +286,18 @@
     const auto call = find_call(action.request_);
     if (!call)
         return;
+    call->is_decided_ = true;
     metrics_.record_answer(clock_.now() - call->arrived_at_);
     auto& answer = call->attempts_.at(action.attempt_)->answer_;
     if (!answer) {
         call->output_.push(answer_ended{});
         return;
     }
-    verify(!call->has_sent_headers_, state::guarantee::whole_answer,
-           "a complete answer must not follow the headers of a stream");
-    call->output_.push(complete_answer{std::move(*answer)});
+    // An earlier attempt may have delivered its first event after the engine had replaced it.
+    if (call->has_sent_headers_)
+        call->output_.push(answer_aborted{"an endpoint answered the rest of a stream without events"});
+    else
+        call->output_.push(complete_answer{std::move(*answer)});
 }
 
 auto network_worker::refuse(const refuse_request& action) -> void
@@ -243,9 +305,11 @@
     const auto call = find_call(action.request_);
     if (!call)
         return;
+    call->is_decided_ = true;
     metrics_.record_refusal(action.refusal_.kind_);
     if (call->has_sent_headers_)
-        call->output_.push(answer_aborted{});
+        call->output_.push(answer_aborted{std::string{state::to_string(action.refusal_.kind_)} + ": " +
+                                          action.refusal_.detail_});
     else
         call->output_.push(complete_answer{platform::refusal_response(action.refusal_)});
 }
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -6,6 +6,7 @@
 #include "front/front_settings.hpp"
 #include "front/traffic_metrics.hpp"
 #include "transport/http/server.hpp"
+#include "transport/logging/logger.hpp"
 #include "transport/ring/bounded_ring.hpp"
 #include "transport/worker/ticker.hpp"
 #include "transport/worker/worker.hpp"
@@ -23,7 +24,10 @@
 /// worker.
 class network_worker {
 public:
-    network_worker(const front_settings& settings, std::function<bool()> is_ready);
+    /// The functions tell whether requests can be served, and how many unfinished ones the decision worker
+    /// knows; both may be called on any thread.
+    network_worker(const front_settings& settings, std::function<bool()> is_ready,
+                   std::function<std::size_t()> decision_requests);
 
     /// Sets the ring to the decision worker; must be called before start().
     auto connect(transport::ring::bounded_ring<network_event>& decision) -> void { decision_ = &decision; }
@@ -47,8 +51,12 @@
     auto open_calls() const -> std::size_t { return open_calls_.load(); }
 
 private:
+    auto load() const -> network_load;
     auto serve_caller(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     auto serve_probe(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
+    /// The only place where a call ends, whoever notices its end first: cancels its attempts, ends the wait
+    /// for its answer, and tells the decision worker unless that has decided on the answer.
+    auto end_call(state::request_handle handle) -> void;
     auto write_answer(transport::http::exchange& exchange, forwarded_call& call)
         -> transport::http::awaitable<void>;
     auto perform(network_action& action) -> void;
@@ -65,8 +73,10 @@
     auto post_to_decision(network_event event) -> void;
 
     transport::process::system_clock clock_;
+    transport::logging::logger log_{"network"};
     transport::worker::worker worker_{"network"};
     std::function<bool()> is_ready_;
+    std::function<std::size_t()> decision_requests_;
     traffic_metrics metrics_;
     transport::http::client client_;
     forward_runner runner_;
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -4,9 +4,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <limits>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace buckthorndale::tests {
@@ -26,6 +28,7 @@
     std::vector<state::attempt_handle> released_;
     std::vector<state::attempt_handle> finished_;
     std::vector<coordination::routing::refusal> refusals_;
+    std::vector<forwarding::leaving_endpoint> announced_;
 
     auto dispatch(const forwarding::forward_command& command) -> void { commands_.push_back(command); }
 
@@ -50,12 +53,19 @@
         -> void
     {}
 
+    auto announce_leaving(const forwarding::leaving_endpoint& leaving) -> void
+    {
+        announced_.push_back(leaving);
+    }
+
     auto log(const forwarding::forward_log& /*line*/) -> void {}
 };
 
 /// An engine with one streaming route over two models, and six endpoints, two of which run a new version.
 struct fixture {
-    fixture()
+    explicit fixture(bool uses_latency_window = true)
+        : engine_{clock_, random_, port_,
+                  forwarding::forward_settings{.uses_latency_window_ = uses_latency_window}}
     {
         auto table = std::make_shared<state::routing_table>();
         table->generation_ = state::generation{1};
@@ -112,6 +122,23 @@
                                  .silent_for_ = port_.commands_.back().stall_threshold_});
     }
 
+    /// Receives a notice in the headers of the last attempt's response.
+    auto receive_notice(const forwarding::endpoint_notice& notice) -> void
+    {
+        const auto& command = port_.commands_.back();
+        engine_.response_headers_received({.attempt_ = command.attempt_,
+                                           .endpoint_ = command.endpoint_,
+                                           .notice_ = notice,
+                                           .is_success_ = false});
+    }
+
+    /// Ends the last attempt, whose endpoint asked for a pause.
+    auto end_paused(forward_outcome outcome) -> void
+    {
+        engine_.attempt_ended(
+            {.attempt_ = port_.commands_.back().attempt_, .outcome_ = outcome, .has_asked_for_pause_ = true});
+    }
+
     auto wait(state::duration time) -> void { time_.run_until(time_.now() + time); }
 
     world::scheduler time_;
@@ -119,7 +146,7 @@
     coordination::time::seeded_random random_{5};
     recording_port port_;
     forwarding::forward_engine<world::virtual_clock, coordination::time::seeded_random, recording_port>
-        engine_{clock_, random_, port_, forwarding::forward_settings{}};
+        engine_;
 };
 
 } // namespace
@@ -176,6 +203,38 @@
 BOOST_AUTO_TEST_CASE(stalled_streams_are_kept_while_the_retry_budget_is_empty)
 {
     constexpr auto streams = std::uint64_t{60};
+    constexpr auto full_balance = std::size_t{20};
+    auto busy = fixture{false};
+    // So many endpoints that those that were silent are a small part.
+    auto endpoints = std::vector<state::registered_endpoint>{};
+    for (auto number = 1; number <= 200; ++number)
+        endpoints.push_back({.id_ = state::endpoint_id{"e" + std::to_string(number)},
+                             .service_ = service,
+                             .version_ = state::version_name{"v1"},
+                             .slots_ = 8});
+    busy.engine_.update_endpoints(endpoints);
+    for (auto number = std::uint64_t{1}; number <= streams; ++number) {
+        busy.send_request(number);
+        busy.receive_headers(90);
+    }
+    const auto first_attempts = busy.port_.commands_;
+    BOOST_REQUIRE(first_attempts.size() == streams);
+    for (const auto& command : first_attempts) {
+        busy.engine_.attempt_stalled(
+            {.attempt_ = command.attempt_, .last_event_ = "3", .silent_for_ = command.stall_threshold_});
+        if (busy.port_.commands_.size() > first_attempts.size())
+            busy.receive_headers(90);
+    }
+    BOOST_TEST(busy.port_.cancelled_.size() == full_balance);
+    BOOST_TEST(busy.port_.commands_.size() == streams + full_balance);
+    BOOST_TEST(busy.port_.refusals_.empty());
+    BOOST_TEST(busy.engine_.size() == streams);
+}
+
+BOOST_AUTO_TEST_CASE(stalled_streams_do_not_all_move_before_one_is_accepted)
+{
+    constexpr auto streams = std::uint64_t{10};
+    constexpr auto max_unconfirmed = std::size_t{4};
     for (auto number = std::uint64_t{1}; number <= streams; ++number) {
         send_request(number);
         receive_headers(90);
@@ -183,10 +242,80 @@
     const auto first_attempts = port_.commands_;
     for (const auto& command : first_attempts)
         engine_.attempt_stalled({.attempt_ = command.attempt_, .last_event_ = "3", .silent_for_ = 1500ms});
-    BOOST_TEST(port_.cancelled_.size() < streams);
-    BOOST_TEST(port_.commands_.size() == first_attempts.size() + port_.cancelled_.size());
+    BOOST_TEST(port_.cancelled_.size() <= max_unconfirmed);
+    BOOST_TEST(!port_.cancelled_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_new_endpoint_declines_is_not_cut)
+{
+    send_request(1);
+    receive_headers(90);
+    report_stall("3");
+    constexpr auto declines = 5;
+    for (auto i = 0; i < declines; ++i) {
+        const auto sent = port_.commands_.size();
+        end_attempt(forward_outcome::declined);
+        for (auto tick = 0; tick < 400 && port_.commands_.size() == sent; ++tick) {
+            wait(20ms);
+            engine_.tick();
+        }
+        BOOST_REQUIRE(port_.commands_.size() == sent + 1);
+        BOOST_TEST(port_.commands_.back().resume_after_ == "3");
+    }
+    receive_headers(90);
+    end_attempt(forward_outcome::complete, "9");
     BOOST_TEST(port_.refusals_.empty());
-    BOOST_TEST(engine_.size() == streams);
+    BOOST_TEST(port_.finished_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_failure_after_a_stalled_stream_does_not_replace_what_was_delivered)
+{
+    send_request(1);
+    receive_headers(90);
+    report_stall("3");
+    for (auto i = 0; i < 2; ++i)
+        end_attempt(forward_outcome::failed);
+    BOOST_TEST(port_.finished_.empty());
+    BOOST_TEST(port_.refusals_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_poor_answer_is_kept_while_the_retry_budget_is_empty)
+{
+    auto busy = fixture{false};
+    auto number = std::uint64_t{0};
+    // Broken streams use up the budget.
+    for (; number < 40; ++number) {
+        busy.send_request(number + 1);
+        busy.receive_headers(90);
+        busy.end_attempt(forward_outcome::broken, "4");
+    }
+    const auto cancelled = busy.port_.cancelled_.size();
+    busy.send_request(++number);
+    busy.receive_headers(10);
+    BOOST_TEST(busy.port_.cancelled_.size() == cancelled);
+    BOOST_TEST(busy.port_.released_.back().value() == busy.port_.commands_.back().attempt_.value());
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_may_not_be_repeated_is_kept_while_it_is_silent)
+{
+    auto table = std::make_shared<state::routing_table>();
+    table->generation_ = state::generation{2};
+    table->routes_ = {{.name_ = "inquiry",
+                       .host_ = "h",
+                       .path_prefix_ = "/",
+                       .kind_ = state::request_kind::stream,
+                       .time_limit_ = 20s,
+                       .latency_objective_ = 2s,
+                       .max_attempts_ = 3,
+                       .models_ = {state::model_name{"small"}, state::model_name{"large"}},
+                       .targets_ = {{.service_ = service}}}};
+    engine_.configure(table);
+    send_request(1);
+    receive_headers(10);
+    BOOST_TEST(port_.cancelled_.empty());
+    report_stall("3");
+    BOOST_TEST(port_.cancelled_.empty());
+    BOOST_TEST(port_.commands_.size() == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(a_stalled_stream_is_kept_while_no_other_endpoint_is_listed)
@@ -362,6 +491,114 @@
     BOOST_TEST(!engine_.is_ready());
 }
 
+/// The stream at the leaving endpoint runs on; first attempts, escalations, retries and resumptions avoid it.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_announces_its_shutdown_gets_nothing_new)
+{
+    send_request(1);
+    const auto running = port_.commands_.back();
+    receive_notice({.is_leaving_ = true});
+    receive_notice({.is_leaving_ = true});
+    BOOST_REQUIRE(port_.announced_.size() == 1U);
+    BOOST_TEST(port_.announced_.front().endpoint_ == running.endpoint_);
+    // Few enough streams break that the retry budget lasts.
+    for (auto handle = 2U; handle < 200; ++handle) {
+        send_request(handle);
+        receive_headers(handle % 2 == 0 ? 10 : 90);
+        if (handle % 6 == 0)
+            end_attempt(forward_outcome::broken, "3");
+        end_attempt(forward_outcome::complete, "9");
+    }
+    const auto is_escalation = [](const auto& command) { return command.model_.text() == "large"; };
+    const auto is_resumption = [](const auto& command) { return !command.resume_after_.empty(); };
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_escalation) >= 20);
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_resumption) >= 20);
+    for (auto index = std::size_t{1}; index < port_.commands_.size(); ++index)
+        BOOST_TEST(port_.commands_[index].endpoint_.text() != running.endpoint_.text());
+    BOOST_TEST(std::ranges::count(port_.cancelled_, running.attempt_) == 0);
+    engine_.response_headers_received({.attempt_ = running.attempt_, .confidence_ = 90});
+    engine_.attempt_ended(
+        {.attempt_ = running.attempt_, .outcome_ = forward_outcome::complete, .last_event_ = "9"});
+    BOOST_TEST(std::ranges::count(port_.finished_, running.attempt_) == 1);
+}
+
+/// The 503 does not say that the request has not run, so it is a failed attempt; but neither the endpoint's
+/// health nor its version is worse for it.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_asks_for_a_pause_gets_nothing_until_its_end)
+{
+    send_request(1);
+    const auto pausing = port_.commands_.back().endpoint_;
+    receive_notice({.pause_ = 2s});
+    end_paused(forward_outcome::failed);
+    BOOST_TEST(port_.commands_.size() == 2U);
+    for (auto handle = 2U; handle < 80; ++handle) {
+        wait(25ms);
+        send_request(handle);
+        receive_headers(handle % 2 == 0 ? 10 : 90);
+        end_attempt(forward_outcome::broken, "3");
+        end_attempt(forward_outcome::complete, "9");
+    }
+    const auto is_pausing = [&](const auto& command) { return command.endpoint_ == pausing; };
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_pausing) == 1);
+    // After the pause and its spread the endpoint gets requests again.
+    wait(1s);
+    for (auto handle = 80U; handle < 140; ++handle) {
+        send_request(handle);
+        receive_headers(90);
+        end_attempt(forward_outcome::complete, "9");
+    }
+    BOOST_TEST(std::ranges::count_if(port_.commands_, is_pausing) > 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_pause_is_no_evidence_against_a_version)
+{
+    engine_.update_roll_outs(
+        {{.service_ = service, .target_ = state::version_name{"v2"}, .time_allowed_ = 60s}});
+    const auto evidence = [this] {
+        return engine_.roll_outs()
+            .report(forwarding::report_scope::own, state::incarnation{1}, clock_.now())
+            .counts_.size();
+    };
+    send_request(1);
+    receive_notice({.pause_ = 1s});
+    end_paused(forward_outcome::failed);
+    BOOST_TEST(evidence() == 0U);
+    end_attempt(forward_outcome::failed);
+    BOOST_TEST(evidence() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_refused_at_once_while_all_endpoints_pause)
+{
+    // The first request is sent to three of the four endpoints, the second one to the last.
+    for (auto asked = 1U; asked <= 4; ++asked) {
+        if (asked == 1 || asked == 4)
+            send_request(asked);
+        receive_notice({.pause_ = asked == 1 ? 3s : 8s});
+        end_paused(forward_outcome::declined);
+    }
+    BOOST_REQUIRE(port_.commands_.size() == 4U);
+    for (auto handle = 10U; handle < 20; ++handle)
+        send_request(handle);
+    BOOST_TEST(port_.commands_.size() == 4U);
+    BOOST_REQUIRE(port_.refusals_.size() == 12U);
+    auto times = std::set<state::duration>{};
+    for (auto index = std::size_t{1}; index < port_.refusals_.size(); ++index) {
+        const auto& refusal = port_.refusals_[index];
+        BOOST_CHECK(refusal.run_ == coordination::routing::run_state::not_run);
+        BOOST_TEST((refusal.retry_after_ >= 3s && refusal.retry_after_ < 5s));
+        times.insert(refusal.retry_after_);
+    }
+    BOOST_TEST(times.size() > 8U);
+}
+
+/// The caller left, but the headers were already on their way to the engine.
+BOOST_AUTO_TEST_CASE(the_notice_in_an_abandoned_answer_counts)
+{
+    send_request(1);
+    engine_.caller_left(state::request_handle{1});
+    receive_notice({.is_leaving_ = true});
+    BOOST_TEST(port_.announced_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(work_of_a_caller_that_left_is_cancelled)
 {
     send_request(1);
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -5,7 +5,6 @@
 #include "coordination/forwarding/model_choice.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
-#include "coordination/forwarding/slow_answer_detector.hpp"
 #include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/time/seeded_random.hpp"
 
@@ -64,6 +63,20 @@
     roll_outs.record(service, version, "inquiry", state::endpoint_id{endpoint_name}, is_good);
 }
 
+/// Records times of both versions, so that the new one is found `factor` times as slow as the old one.
+auto record_times(forwarding::service_roll_outs& roll_outs, double factor, state::time_point now) -> void
+{
+    constexpr auto answers = 40;
+    const auto work = coordination::roll_out::work_kind{.route_ = "inquiry", .model_ = "small"};
+    for (auto number = 0; number < answers; ++number) {
+        const auto id = state::endpoint_id{"e" + std::to_string(number % 8)};
+        const auto time = 20ms + number * 500us;
+        roll_outs.record_time(service, old_version, work, id, now, time, now);
+        const auto time_of_new = std::chrono::duration_cast<state::duration>(time * factor);
+        roll_outs.record_time(service, new_version, work, id, now, time_of_new, now);
+    }
+}
+
 const auto both_versions = std::vector{old_version, new_version};
 
 } // namespace
@@ -76,7 +89,7 @@
     auto draining = endpoint("e1");
     draining.is_draining_ = true;
     pool.update({draining, endpoint("e2"), endpoint("e3")});
-    pool.mark_leaving(state::endpoint_id{"e3"});
+    pool.mark_leaving(state::endpoint_id{"e3"}, at(1s));
     for (auto random = 0U; random < 50; ++random)
         BOOST_TEST(pool.choose({.service_ = service}, at(1s), random)->endpoint_.text() == "e2");
     pool.update({draining});
@@ -89,13 +102,100 @@
     auto first = endpoint("e1");
     first.incarnation_ = 1;
     pool.update({first});
-    pool.mark_leaving(first.id_);
+    pool.mark_leaving(first.id_, at(1s));
     BOOST_TEST(!pool.choose({.service_ = service}, at(1s), 1).has_value());
     first.incarnation_ = 2;
     pool.update({first});
     BOOST_TEST(pool.choose({.service_ = service}, at(1s), 1).has_value());
 }
 
+/// The store may lose an entry and list it again from an older copy, as ready and under another registration
+/// number.
+BOOST_AUTO_TEST_CASE(an_older_listing_does_not_bring_a_leaving_endpoint_back)
+{
+    auto pool = forwarding::endpoint_pool{};
+    auto leaving = endpoint("e1");
+    leaving.incarnation_ = 7;
+    const auto is_used = [&pool] { return pool.choose({.service_ = service}, at(2s), 1).has_value(); };
+    pool.update({leaving});
+    const auto announced = pool.mark_leaving(leaving.id_, at(1s));
+    BOOST_REQUIRE(announced.has_value());
+    BOOST_TEST(!pool.mark_leaving(leaving.id_, at(1s)).has_value());
+    pool.update({});
+    pool.update({leaving});
+    BOOST_TEST(!is_used());
+    leaving.registered_at_ = 90;
+    pool.update({leaving});
+    BOOST_TEST(!is_used());
+    leaving.incarnation_ = 6;
+    pool.update({leaving});
+    BOOST_TEST(!is_used());
+    leaving.incarnation_ = 8;
+    pool.update({leaving});
+    BOOST_TEST(is_used());
+    // The announcement of the run before arrives late.
+    pool.record_remote_leaving(*announced, at(2s));
+    BOOST_TEST(is_used());
+}
+
+BOOST_AUTO_TEST_CASE(without_a_start_time_an_endpoint_that_registers_again_is_back)
+{
+    auto pool = forwarding::endpoint_pool{};
+    auto leaving = endpoint("e1");
+    pool.update({leaving});
+    pool.record_remote_leaving({.endpoint_ = leaving.id_, .registered_at_ = leaving.registered_at_}, at(1s));
+    BOOST_TEST(!pool.choose({.service_ = service}, at(1s), 1).has_value());
+    ++leaving.registered_at_;
+    pool.update({leaving});
+    BOOST_TEST(pool.choose({.service_ = service}, at(1s), 1).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(an_endpoint_is_probed_with_single_requests_after_its_pause)
+{
+    const auto id = state::endpoint_id{"e1"};
+    auto pauses = forwarding::endpoint_pauses{};
+    pauses.add(id, 4s, at(1s), 999'999);
+    // A shorter pause that is asked for later does not end the longer one.
+    pauses.add(id, 100ms, at(2s), 0);
+    const auto probe = pauses.next_request_at(id, at(2s));
+    BOOST_TEST((probe > at(5s) && probe < at(6s)));
+    pauses.record_good_answer(id, at(900ms), at(3s));
+    BOOST_TEST((pauses.next_request_at(id, at(3s)) == probe));
+    pauses.record_sent(id, probe);
+    // Without an answer the next request waits a second.
+    BOOST_TEST((pauses.next_request_at(id, probe) == probe + 1s));
+    pauses.record_good_answer(id, probe, probe + 50ms);
+    BOOST_TEST((pauses.next_request_at(id, probe) == probe + 300ms));
+    for (auto answers = 0; answers < 3; ++answers)
+        pauses.record_good_answer(id, probe, probe + 50ms);
+    BOOST_TEST((pauses.next_request_at(id, probe) == probe));
+}
+
+/// An endpoint that is full for a moment is not kept at one request a second for longer than that.
+BOOST_AUTO_TEST_CASE(after_a_short_pause_the_probes_follow_each_other_sooner)
+{
+    const auto id = state::endpoint_id{"e1"};
+    auto pauses = forwarding::endpoint_pauses{};
+    pauses.add(id, 200ms, at(1s), 0);
+    pauses.record_sent(id, at(1200ms));
+    BOOST_TEST((pauses.next_request_at(id, at(1200ms)) == at(1400ms)));
+}
+
+BOOST_AUTO_TEST_CASE(instances_return_to_an_endpoint_at_different_times)
+{
+    const auto id = state::endpoint_id{"e1"};
+    auto times = std::set<state::time_point>{};
+    auto random = coordination::time::seeded_random{3};
+    for (auto instance = 0; instance < 20; ++instance) {
+        auto pauses = forwarding::endpoint_pauses{};
+        pauses.add(id, 2s, at(1s), random.next());
+        times.insert(pauses.next_request_at(id, at(1s)));
+    }
+    BOOST_TEST(times.size() == 20U);
+    BOOST_TEST((*times.begin() >= at(3s)));
+    BOOST_TEST((*times.rbegin() - *times.begin() > 300ms));
+}
+
 BOOST_AUTO_TEST_CASE(an_affinity_key_stays_on_one_endpoint_until_it_is_busy)
 {
     auto pool = forwarding::endpoint_pool{};
@@ -242,6 +342,8 @@
     roll_outs.update({order()}, at(0s));
     BOOST_TEST(roll_outs.share(service, at(9s)) < 0.15);
     BOOST_TEST(roll_outs.share(service, at(9s)) > 0.0);
+    record_times(roll_outs, 1.0, at(9s));
+    BOOST_TEST(roll_outs.judge(at(14500ms)).empty());
     BOOST_TEST(roll_outs.share(service, at(15s)) == 1.0);
     BOOST_REQUIRE(roll_outs.steps(at(1s)).size() == 1U);
     BOOST_CHECK(roll_outs.steps(at(1s)).front().state_ == state::staged_roll_out_state::running);
@@ -251,6 +353,17 @@
     BOOST_CHECK(roll_outs.steps(at(19s)).front().state_ == state::staged_roll_out_state::completed);
 }
 
+BOOST_AUTO_TEST_CASE(without_evidence_a_version_is_rolled_back_before_its_time_ends)
+{
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    BOOST_TEST(roll_outs.judge(at(15s)).empty());
+    BOOST_TEST(roll_outs.share(service, at(15s)) <= 0.5);
+    BOOST_TEST(roll_outs.judge(at(17s)).size() == 1U);
+    BOOST_REQUIRE(roll_outs.steps(at(17s)).size() == 1U);
+    BOOST_CHECK(roll_outs.steps(at(17s)).front().state_ == state::staged_roll_out_state::rolled_back);
+}
+
 BOOST_AUTO_TEST_CASE(sessions_stay_on_their_version)
 {
     auto roll_outs = forwarding::service_roll_outs{};
@@ -356,6 +469,8 @@
 {
     auto early = forwarding::service_roll_outs{};
     early.update({order(state::staged_roll_out_state::running)}, at(0s));
+    record_times(early, 1.0, at(9s));
+    early.judge(at(14500ms));
     auto late = forwarding::service_roll_outs{};
     late.update({order(state::staged_roll_out_state::running)}, at(100s));
     late.hear(state::instance_id{"early"}, forwarding::report_scope::subtree,
@@ -420,14 +535,22 @@
 
 BOOST_AUTO_TEST_CASE(answers_far_slower_than_usual_are_found)
 {
-    auto detector = forwarding::slow_answer_detector{};
-    const auto model = state::model_name{"small"};
-    BOOST_TEST(!detector.is_slow("inquiry", model, 10s));
-    for (auto i = 0; i < 10; ++i)
-        detector.record("inquiry", model, 20ms);
-    BOOST_TEST(!detector.is_slow("inquiry", model, 40ms));
-    BOOST_TEST(detector.is_slow("inquiry", model, 160ms));
-    BOOST_TEST(!detector.is_slow("other", model, 160ms));
+    for (const auto factor : {1.0, 2.0, 8.0}) {
+        auto roll_outs = forwarding::service_roll_outs{};
+        roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+        record_times(roll_outs, factor, at(9s));
+        BOOST_TEST(roll_outs.judge(at(10s)).size() == (factor > 1.0 ? 1U : 0U));
+        // Times of the new version do not become the standard for the next ones.
+        record_times(roll_outs, factor, at(10s));
+        BOOST_TEST((roll_outs.share(service, at(11s)) > 0.0) == (factor == 1.0));
+    }
+    // Without times of the old version nothing is known to be slow.
+    auto roll_outs = forwarding::service_roll_outs{};
+    roll_outs.update({order(state::staged_roll_out_state::running)}, at(0s));
+    const auto work = coordination::roll_out::work_kind{.route_ = "inquiry", .model_ = "small"};
+    for (auto number = 0; number < 40; ++number)
+        roll_outs.record_time(service, new_version, work, state::endpoint_id{"e"}, at(9s), 10s, at(9s));
+    BOOST_TEST(roll_outs.judge(at(10s)).empty());
 }
 
 BOOST_AUTO_TEST_CASE(poor_answers_are_asked_for_again_while_endpoints_have_time)
