--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -150,10 +150,10 @@
     const auto reason = "silent for " + std::to_string(milliseconds.count()) + " ms";
     if (item->route_.is_repeatable() && replace_silent_attempt(*item, "the stream is " + reason))
         return;
-    log(*item, "keep_stalled", reason);
     auto& attempt = *item->attempt_;
     if (attempt.is_judged_)
         return;
+    log(*item, "keep_stalled", reason);
     const auto result =
         forward_attempt_result{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::silent};
     update_endpoint_state(*item, attempt, result);
