front: Show when the store last confirmed each kind of objects

An instance that served an old configuration wrote no line for 16 s, so its log could not tell whether a watch was silent or had answered without the change. The metrics page now states the age of the last confirmation for each kind, and 'store lost' states it too. No decision changes.

--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -8,6 +8,7 @@
 #include "front/events.hpp"
 #include "front/front_settings.hpp"
 #include "front/peer_link.hpp"
+#include "front/store_gauge.hpp"
 #include "platform/object_mirror.hpp"
 #include "platform/store_client.hpp"
 #include "transport/http/client.hpp"
@@ -48,14 +49,20 @@
 
     auto from_decision() -> transport::ring::bounded_ring<control_action>& { return from_decision_; }
 
+    /// Any thread.
+    auto gauge() const -> const store_gauge& { return gauge_; }
+
     /// Tells the decision worker that the process is stopping; any thread.
     auto begin_stop() -> void;
 
 private:
     /// State of following one kind of object.
     struct followed_kind {
+        object_kind kind_;
         platform::object_mirror mirror_;
         std::function<void()> on_change_;
+        /// When the last read was sent that showed the objects to be current.
+        state::time_point confirmed_at_{};
         bool is_lost_{true};
         state::time_point lost_since_{};
         /// The watcher that was queried last.
@@ -91,6 +98,8 @@
     auto watch_until_restore(followed_kind& kind) -> transport::http::awaitable<platform::object_changes>;
     /// Processes changed objects and wakes the requests of instances that wait for changes.
     auto apply_changes(followed_kind& kind) -> void;
+    /// Records that the objects were current when a read was sent.
+    auto record_confirmation(followed_kind& kind, state::time_point asked_at) -> void;
     auto mark_regained(followed_kind& kind) -> void;
     auto mark_lost(followed_kind& kind, const std::string& reason) -> void;
     auto apply_configuration() -> void;
@@ -142,6 +151,7 @@
     bool is_store_reachable_{true};
     /// Wakes waiting requests of followers when objects change or the store's reachability does.
     transport::ring::notifier updates_;
+    store_gauge gauge_;
     followed_kind configuration_;
     followed_kind endpoints_;
     followed_kind roll_outs_;
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -180,10 +180,12 @@
     auto wait_timeout = state::duration{0};
     while (!watches_store()) {
         kind.watcher_ = watcher;
+        const auto asked_at = clock_.now();
         const auto is_confirmed =
             co_await fetch_from_peer(kind, watcher, std::exchange(wait_timeout, max_watcher_wait));
         if (!is_confirmed)
             co_return;
+        record_confirmation(kind, asked_at);
         fallback_.watcher_confirmed(clock_.now());
         mark_regained(kind);
     }
@@ -213,16 +215,20 @@
 auto control_worker::follow_store_until_fault(followed_kind& kind) -> http::awaitable<void>
 {
     auto& mirror = kind.mirror_;
+    auto asked_at = clock_.now();
     const auto listing = co_await store_.list(mirror.kind(), platform::read_consistency::latest);
     if (listing.position_.era_ < era_ || !mirror.replace(listing))
         throw store_error{store_fault::no_response, "the store's listing is older than the known position"};
+    record_confirmation(kind, asked_at);
     mark_regained(kind);
     apply_changes(kind);
     while (watches_store()) {
+        asked_at = clock_.now();
         const auto changes = co_await watch_until_restore(kind);
         // The era may also be learned from another answer while changes are applied.
         if (!mirror.apply(changes) || kind.is_lost_)
             throw store_error{store_fault::history_gone, "the store was restored while it was watched"};
+        record_confirmation(kind, asked_at);
         if (changes.changes_.empty())
             continue;
         apply_changes(kind);
@@ -245,6 +251,12 @@
     }
 }
 
+auto control_worker::record_confirmation(followed_kind& kind, state::time_point asked_at) -> void
+{
+    kind.confirmed_at_ = std::max(kind.confirmed_at_, asked_at);
+    gauge_.publish(kind.kind_, kind.confirmed_at_);
+}
+
 auto control_worker::mark_regained(followed_kind& kind) -> void
 {
     if (!std::exchange(kind.is_lost_, false))
@@ -263,8 +275,10 @@
     if (std::exchange(kind.is_lost_, true))
         return;
     kind.lost_since_ = clock_.now();
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(kind.lost_since_ - kind.confirmed_at_);
     log_.warn("store lost kind=" + kind.mirror_.kind() + " " + text_of(kind.mirror_.position()) +
-              " reason=\"" + reason + "\"");
+              " confirmed_ms_ago=" + std::to_string(age.count()) + " reason=\"" + reason + "\"");
     if (&kind == &endpoints_)
         directory_.mark_store_unavailable();
     if (&kind == &configuration_)
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -58,8 +58,8 @@
 } // namespace
 
 network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready,
-                               std::function<std::size_t()> decision_requests)
-    : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)},
+                               std::function<std::size_t()> decision_requests, const store_gauge& store)
+    : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)}, store_{store},
       client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_},
       callers_{worker_.context(), caller_server_settings(settings),
                [this](http::exchange& exchange) { return serve_caller(exchange); }},
@@ -121,6 +121,10 @@
         else if (call->has_sent_headers_)
             ++load.streaming_calls_;
     }
+    for (const auto kind : object_kinds) {
+        if (const auto confirmed_at = store_.confirmed_at(kind))
+            load.store_ages_[kind] = clock_.now() - *confirmed_at;
+    }
     const auto undecided = load.calls_ - load.decided_calls_;
     load.unknown_calls_ = undecided - std::min(undecided, decision_requests_());
     return load;
--- a/services/front/traffic_metrics.cpp
+++ b/services/front/traffic_metrics.cpp
@@ -75,6 +75,9 @@
     text << "buckthorndale_calls_unknown_to_decisions " << load.unknown_calls_ << "\n";
     text << "buckthorndale_attempts_open " << load.attempts_ << "\n";
     write_counts(text, load.callers_);
+    for (const auto& [kind, age] : load.store_ages_)
+        text << "buckthorndale_store_confirmation_age_seconds{kind=\"" << to_string(kind) << "\"} "
+             << seconds(age) << "\n";
     for (const auto& [kind, count] : refusals_)
         text << "buckthorndale_refusals_total{kind=\"" << state::to_string(kind) << "\"} " << count << "\n";
     return text.str();
--- a/services/front/traffic_metrics.hpp
+++ b/services/front/traffic_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "front/store_gauge.hpp"
 #include "state/error.hpp"
 #include "state/units.hpp"
 #include "transport/http/server_counts.hpp"
@@ -25,6 +26,8 @@
     std::size_t unknown_calls_{0};
     std::size_t attempts_{0};
     transport::http::server_counts callers_;
+    /// How long ago the store confirmed each kind of objects that was ever confirmed.
+    std::map<object_kind, state::duration> store_ages_;
 };
 
 /// Counters and latency histograms of the network worker, rendered in the Prometheus text format.
