membership: Bound how long an instance takes its objects for current

Callers got answers by a configuration that had been replaced up to 16 s before, 401 and 404 for keys and routes that had been added, and requests reached endpoints that had left: an instance took what it knew for current as long as its watch of the store was open. A watch that the store takes and never answers, whose connection is silent, or whose answer lacks the change, looks like one with nothing to say.

Ruled out: invalid configurations and a decision worker that does not get them ('configuration in force' never came).

Now a kind of objects counts as current for a time after a read, over a connection of its own, that showed it to be. The watch only makes changes come sooner. Instances share the results of these reads, so their number hardly grows with the fleet. Followers take over the age that their watcher states. Pings of the store by watchers with followers go, as the reads say more.

--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -197,6 +197,15 @@
         leaving["registered_at"] = std::to_string(item.registered_at_);
         value["leaving"].append(leaving);
     }
+    for (const auto& item : message.confirmations_) {
+        auto confirmation = Json::Value{Json::objectValue};
+        confirmation["kind"] = item.kind_;
+        confirmation["era"] = std::to_string(item.confirmation_.position_.era_.value());
+        confirmation["revision"] = std::to_string(item.confirmation_.position_.revision_);
+        confirmation["fingerprint"] = std::to_string(item.confirmation_.fingerprint_);
+        confirmation["age_us"] = Json::Int64{item.confirmation_.age_.count()};
+        value["confirmations"].append(confirmation);
+    }
     if (message.work_)
         value["work_ms"] = work_to_json(*message.work_);
     return json::to_text(value);
@@ -227,6 +236,12 @@
         message.leaving_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
                                     .incarnation_ = item.number("incarnation"),
                                     .registered_at_ = item.number("registered_at")});
+    for (auto& item : reader.children("confirmations"))
+        message.confirmations_.push_back(
+            {.kind_ = item.text("kind"),
+             .confirmation_ = {.position_ = {.era_ = read_era(item), .revision_ = item.number("revision")},
+                               .fingerprint_ = item.number("fingerprint"),
+                               .age_ = state::duration{item.integer("age_us", 0, max_value)}}});
     const auto& work = reader.raw("work_ms");
     if (work.isObject())
         message.work_ = read_work(work);
--- a/libraries/protocol/peer/peer_message.hpp
+++ b/libraries/protocol/peer/peer_message.hpp
@@ -3,6 +3,7 @@
 #include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
+#include "coordination/membership/currency.hpp"
 #include "state/identifiers.hpp"
 
 #include <optional>
@@ -19,6 +20,13 @@
     state::content_fingerprint content_;
 };
 
+/// What the sender knows to be current.
+struct kind_confirmation {
+    /// The kind of objects.
+    std::string kind_;
+    coordination::membership::confirmation confirmation_;
+};
+
 /// The content of one datagram.
 struct peer_message {
     state::instance_id from_;
@@ -29,6 +37,7 @@
     std::vector<coordination::forwarding::leaving_endpoint> leaving_;
     /// The pending work of each endpoint; unset if the message does not report it.
     std::optional<std::vector<coordination::forwarding::endpoint_work>> work_;
+    std::vector<kind_confirmation> confirmations_;
 };
 
 auto to_text(const peer_message& message) -> std::string;
--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -190,6 +190,17 @@
     co_return answer;
 }
 
+auto client::fetch_over_new_connection(const state::network_address& peer, request message,
+                                       const timeouts& time_limits) -> awaitable<response>
+{
+    const auto stream = co_await open(peer, std::move(message), time_limits, true);
+    auto body = co_await stream->read_all(time_limits.between_chunks_, max_fetched_bytes);
+    auto answer = response{stream->parser_->get().base()};
+    answer.body() = std::move(body);
+    stream->cancel();
+    co_return answer;
+}
+
 auto client::is_reachable(const state::network_address& peer, state::duration timeout) -> awaitable<bool>
 {
     try {
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -117,6 +117,10 @@
     auto fetch(const state::network_address& peer, request message, const timeouts& time_limits)
         -> awaitable<response>;
 
+    /// Like fetch(), but over a connection that is opened for the request and closed after it.
+    auto fetch_over_new_connection(const state::network_address& peer, request message,
+                                   const timeouts& time_limits) -> awaitable<response>;
+
     /// Whether the peer accepts a connection within the timeout and keeps it open, or accepts a second one.
     /// A terminating process closes its listener last, so a single accepted connection is no evidence.
     auto is_reachable(const state::network_address& peer, state::duration timeout) -> awaitable<bool>;
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -19,6 +19,7 @@
 namespace buckthorndale::services::front {
 
 namespace http = transport::http;
+using coordination::membership::currency_limits;
 using platform::store_error;
 using platform::store_fault;
 
@@ -42,6 +43,7 @@
                       [this](http::exchange& exchange) { return serve_peer(exchange); }},
       peers_{worker_.context(), settings,
              [this](protocol::peer::peer_message message) {
+                 hear_confirmations(message);
                  post_to_decision(peer_message_received{std::move(message)});
              }},
       watchers_{{.id_ = settings.instance_,
@@ -51,13 +53,20 @@
       fallback_{clock_.now()}, restores_{worker_.context()}, updates_{worker_.context()},
       configuration_{.kind_ = object_kind::configuration,
                      .mirror_ = platform::object_mirror{std::string{platform::kind::configuration}},
-                     .on_change_ = [this] { apply_configuration(); }},
+                     .on_change_ = [this] { apply_configuration(); },
+                     .currency_ =
+                         coordination::membership::currency{currency_limits{settings.configuration_delay_}},
+                     .check_wake_ = std::make_unique<transport::ring::notifier>(worker_.context())},
       endpoints_{.kind_ = object_kind::endpoints,
                  .mirror_ = platform::object_mirror{std::string{platform::kind::endpoints}},
-                 .on_change_ = [this] { apply_endpoints(); }},
+                 .on_change_ = [this] { apply_endpoints(); },
+                 .currency_ = coordination::membership::currency{currency_limits{settings.endpoints_delay_}},
+                 .check_wake_ = std::make_unique<transport::ring::notifier>(worker_.context())},
       roll_outs_{.kind_ = object_kind::roll_outs,
                  .mirror_ = platform::object_mirror{std::string{platform::kind::roll_outs}},
-                 .on_change_ = [this] { apply_roll_outs(); }},
+                 .on_change_ = [this] { apply_roll_outs(); },
+                 .currency_ = coordination::membership::currency{currency_limits{settings.roll_outs_delay_}},
+                 .check_wake_ = std::make_unique<transport::ring::notifier>(worker_.context())},
       directory_timer_{worker_.context()},
       from_decision_{ring_capacity, worker_.context(), [this](control_action& action) { perform(action); }}
 {}
@@ -79,11 +88,13 @@
                              transport::logging::failure_log{"control", "follow_store"});
         http::asio::co_spawn(worker_.context(), follow_watchers(*kind),
                              transport::logging::failure_log{"control", "follow_watchers"});
+        http::asio::co_spawn(worker_.context(), check_currency(*kind),
+                             transport::logging::failure_log{"control", "check_currency"});
     }
     http::asio::co_spawn(worker_.context(), follow_instances(),
                          transport::logging::failure_log{"control", "follow_instances"});
-    http::asio::co_spawn(worker_.context(), check_store(),
-                         transport::logging::failure_log{"control", "check_store"});
+    http::asio::co_spawn(worker_.context(), expire_kinds(),
+                         transport::logging::failure_log{"control", "expire_kinds"});
     http::asio::co_spawn(worker_.context(), poll_peers_in_outage(),
                          transport::logging::failure_log{"control", "poll_peers_in_outage"});
     worker_.start();
--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/forwarding/endpoint_directory.hpp"
 #include "coordination/forwarding/roll_out_directory.hpp"
+#include "coordination/membership/currency.hpp"
 #include "coordination/membership/store_fallback.hpp"
 #include "coordination/membership/store_read_pacing.hpp"
 #include "coordination/membership/store_watchers.hpp"
@@ -61,8 +62,11 @@
         object_kind kind_;
         platform::object_mirror mirror_;
         std::function<void()> on_change_;
-        /// When the last read was sent that showed the objects to be current.
-        state::time_point confirmed_at_{};
+        coordination::membership::currency currency_;
+        /// Wakes check_currency().
+        std::unique_ptr<transport::ring::notifier> check_wake_;
+        /// The newest position of another instance that has other objects; 0 after it was looked into.
+        state::store_position hinted_;
         bool is_lost_{true};
         state::time_point lost_since_{};
         /// The watcher that was queried last.
@@ -82,8 +86,16 @@
     /// Calls follow_watcher() and logs its errors.
     auto follow_watcher_until_fault(followed_kind& kind, const state::network_address& watcher)
         -> transport::http::awaitable<void>;
-    /// Checks repeatedly whether the store answers, on behalf of the followers of this instance.
-    auto check_store() -> transport::http::awaitable<void>;
+    /// Reads the changes of a kind again and again, unless other instances confirm that it is current.
+    auto check_currency(followed_kind& kind) -> transport::http::awaitable<void>;
+    auto check_now(followed_kind& kind) -> transport::http::awaitable<void>;
+    /// Marks kinds as lost that were not confirmed in time, whatever the reason.
+    auto expire_kinds() -> transport::http::awaitable<void>;
+    /// Marks a kind as lost and lets it be read anew.
+    auto read_again(followed_kind& kind, const std::string& reason) -> void;
+    /// Tells the other instances that watch the store that a kind is current.
+    auto announce_confirmation(followed_kind& kind, state::time_point asked_at) -> void;
+    auto hear_confirmations(const protocol::peer::peer_message& message) -> void;
     auto try_watching_store() -> transport::http::awaitable<void>;
 
     /// Takes the era from an answer of the store or of another instance. What was read in an earlier era must
@@ -98,8 +110,10 @@
     auto watch_until_restore(followed_kind& kind) -> transport::http::awaitable<platform::object_changes>;
     /// Processes changed objects and wakes the requests of instances that wait for changes.
     auto apply_changes(followed_kind& kind) -> void;
-    /// Records that the objects were current when a read was sent.
-    auto record_confirmation(followed_kind& kind, state::time_point asked_at) -> void;
+    /// Records that the objects were current up to a position when a read was sent.
+    auto record_confirmation(followed_kind& kind, state::time_point asked_at, state::store_position position)
+        -> void;
+    auto publish_confirmation(const followed_kind& kind) -> void;
     auto mark_regained(followed_kind& kind) -> void;
     auto mark_lost(followed_kind& kind, const std::string& reason) -> void;
     auto apply_configuration() -> void;
@@ -148,8 +162,9 @@
     bool has_seen_restore_{false};
     /// Wakes the registration of this instance when the store was restored.
     transport::ring::notifier restores_;
-    bool is_store_reachable_{true};
-    /// Wakes waiting requests of followers when objects change or the store's reachability does.
+    /// When this thread was last seen running.
+    state::time_point awake_at_{};
+    /// Wakes waiting requests of followers when objects change or are lost.
     transport::ring::notifier updates_;
     store_gauge gauge_;
     followed_kind configuration_;
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -7,6 +7,7 @@
 #include "platform/names.hpp"
 #include "platform/object_codec.hpp"
 #include "state/error.hpp"
+#include "state/number_from_text.hpp"
 #include "transport/http/query.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -29,17 +30,8 @@
 constexpr auto batching_delay = state::duration{std::chrono::milliseconds{100}};
 /// Interval at which a loop that must not read the store checks whether it may.
 constexpr auto poll_interval = state::duration{std::chrono::milliseconds{50}};
-/// How long a watcher delays its answer to a follower while there are no updates. A watcher that takes
-/// longer, by more than the margin, is abandoned.
-constexpr auto max_watcher_wait = state::duration{std::chrono::seconds{1}};
-constexpr auto watcher_response_margin = state::duration{std::chrono::milliseconds{600}};
 /// Pause before a follower queries its watchers again after none confirmed that it reaches the store.
 constexpr auto watcher_retry_interval = state::duration{std::chrono::milliseconds{100}};
-/// A watch waits too long to reveal an unreachable store in time, so a watcher with followers also pings it.
-/// Including the notification of the followers this takes less than the two seconds in which a change must be
-/// in force.
-constexpr auto store_check_interval = state::duration{std::chrono::milliseconds{500}};
-constexpr auto store_check_timeout = state::duration{std::chrono::milliseconds{400}};
 /// How long an instance watches the store itself after no watcher answered.
 constexpr auto own_watch_duration = state::duration{std::chrono::seconds{10}};
 /// Pause between attempts to reach the store while no watcher reaches it.
@@ -58,13 +50,19 @@
 /// Response header: whether the answering instance reaches the store.
 constexpr auto freshness_header = "Hears-Store";
 constexpr auto is_fresh_text = "1";
+/// Response header: how long ago the store confirmed the objects, in microseconds. Older builds do not state
+/// it.
+constexpr auto age_header = "Confirmed-Ago-Us";
+/// Limits the wait that another instance may ask for.
+constexpr auto max_follower_wait = state::duration{std::chrono::seconds{10}};
 
 } // namespace
 
 auto control_worker::is_fresh() const -> bool
 {
     return std::ranges::none_of(kinds(), [this](const followed_kind* kind) {
-        return kind->is_lost_ || kind->mirror_.position().era_ != era_;
+        return kind->is_lost_ || kind->mirror_.position().era_ != era_ ||
+               !kind->currency_.is_current(clock_.boot_now());
     });
 }
 
@@ -92,31 +90,6 @@
     restores_.notify_all();
 }
 
-auto control_worker::check_store() -> http::awaitable<void>
-{
-    while (true) {
-        co_await sleep(store_check_interval);
-        // Only followers need this check: the limit on the age of changes does not apply to an instance that
-        // cannot reach the store itself.
-        if (!watchers_.is_watcher() || watchers_.followers().empty() || !is_fresh()) {
-            is_store_reachable_ = true;
-            continue;
-        }
-        auto reason = std::string{};
-        try {
-            co_await store_.ping(platform::kind::instances, settings_.instance_.text(), store_check_timeout);
-        } catch (const store_error& fault) {
-            reason = fault.what();
-        }
-        const auto is_reachable = reason.empty();
-        if (std::exchange(is_store_reachable_, is_reachable) == is_reachable)
-            continue;
-        log_.info(is_reachable ? std::string{"store is reachable again"}
-                               : "store is unreachable reason=\"" + reason + "\"");
-        updates_.notify_all();
-    }
-}
-
 auto control_worker::follow_store(followed_kind& kind) -> http::awaitable<void>
 {
     const auto started_at = clock_.now();
@@ -180,12 +153,10 @@
     auto wait_timeout = state::duration{0};
     while (!watches_store()) {
         kind.watcher_ = watcher;
-        const auto asked_at = clock_.now();
-        const auto is_confirmed =
-            co_await fetch_from_peer(kind, watcher, std::exchange(wait_timeout, max_watcher_wait));
+        const auto is_confirmed = co_await fetch_from_peer(
+            kind, watcher, std::exchange(wait_timeout, kind.currency_.limits().follower_wait()));
         if (!is_confirmed)
             co_return;
-        record_confirmation(kind, asked_at);
         fallback_.watcher_confirmed(clock_.now());
         mark_regained(kind);
     }
@@ -215,26 +186,24 @@
 auto control_worker::follow_store_until_fault(followed_kind& kind) -> http::awaitable<void>
 {
     auto& mirror = kind.mirror_;
-    auto asked_at = clock_.now();
+    const auto asked_at = clock_.boot_now();
     const auto listing = co_await store_.list(mirror.kind(), platform::read_consistency::latest);
     if (listing.position_.era_ < era_ || !mirror.replace(listing))
         throw store_error{store_fault::no_response, "the store's listing is older than the known position"};
-    record_confirmation(kind, asked_at);
+    record_confirmation(kind, asked_at, listing.position_);
     mark_regained(kind);
     apply_changes(kind);
     while (watches_store()) {
-        asked_at = clock_.now();
         const auto changes = co_await watch_until_restore(kind);
         // The era may also be learned from another answer while changes are applied.
         if (!mirror.apply(changes) || kind.is_lost_)
-            throw store_error{store_fault::history_gone, "the store was restored while it was watched"};
-        record_confirmation(kind, asked_at);
+            throw store_error{store_fault::history_gone, "the objects must be read anew"};
         if (changes.changes_.empty())
             continue;
         apply_changes(kind);
         co_await sleep(batching_delay);
         if (kind.is_lost_)
-            throw store_error{store_fault::history_gone, "the store was restored while it was watched"};
+            throw store_error{store_fault::history_gone, "the objects must be read anew"};
     }
 }
 
@@ -251,12 +220,6 @@
     }
 }
 
-auto control_worker::record_confirmation(followed_kind& kind, state::time_point asked_at) -> void
-{
-    kind.confirmed_at_ = std::max(kind.confirmed_at_, asked_at);
-    gauge_.publish(kind.kind_, kind.confirmed_at_);
-}
-
 auto control_worker::mark_regained(followed_kind& kind) -> void
 {
     if (!std::exchange(kind.is_lost_, false))
@@ -276,7 +239,7 @@
         return;
     kind.lost_since_ = clock_.now();
     const auto age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(kind.lost_since_ - kind.confirmed_at_);
+        std::chrono::duration_cast<std::chrono::milliseconds>(kind.currency_.age(clock_.boot_now()));
     log_.warn("store lost kind=" + kind.mirror_.kind() + " " + text_of(kind.mirror_.position()) +
               " confirmed_ms_ago=" + std::to_string(age.count()) + " reason=\"" + reason + "\"");
     if (&kind == &endpoints_)
@@ -327,8 +290,9 @@
         std::string{objects_path} + mirror.kind() + "?since=" + std::to_string(mirror.position().revision_) +
         "&era=" + std::to_string(mirror.position().era_.value()) + "&wait_ms=" + std::to_string(wait);
     auto message = http::request{http::beast::http::verb::get, target, 11};
-    const auto answer = co_await client_.fetch(peer, std::move(message),
-                                               {.first_byte_ = wait_timeout + watcher_response_margin});
+    const auto asked_at = clock_.boot_now();
+    const auto answer = co_await client_.fetch(
+        peer, std::move(message), {.first_byte_ = wait_timeout + kind.currency_.limits().follower_margin()});
     // Instances of older builds state no era: once one is known, they confirm nothing.
     const auto peer_era = platform::read_store_era(answer);
     learn_era(peer_era);
@@ -342,8 +306,13 @@
         }
     }
     const auto is_same_era = peer_era == era_ && mirror.position().era_ == era_;
-    const auto is_fresh_at_peer = answer[freshness_header] == is_fresh_text;
-    co_return is_same_era&& is_fresh_at_peer;
+    const auto is_confirmed = is_same_era && answer[freshness_header] == is_fresh_text;
+    if (is_confirmed) {
+        const auto age = state::number_from_text<state::duration::rep>(answer[age_header]).value_or(0);
+        record_confirmation(kind, asked_at - state::duration{std::max<state::duration::rep>(age, 0)},
+                            mirror.position());
+    }
+    co_return is_confirmed;
 }
 
 auto control_worker::serve_peer(http::exchange& exchange) -> http::awaitable<void>
@@ -363,12 +332,12 @@
     const auto is_older_build = http::query_text(target.query_, "era").empty();
     learn_era(since.era_);
     const auto wait = std::chrono::milliseconds{http::query_number(target.query_, "wait_ms", 0)};
-    const auto deadline = clock_.now() + std::min<state::duration>(wait, max_watcher_wait);
+    const auto deadline = clock_.now() + std::min<state::duration>(wait, max_follower_wait);
     const auto is_confirmed = [&] {
         // Its revision may be one of an earlier era, where it had another meaning.
         const auto may_be_outdated =
             is_older_build && (has_seen_restore_ || since.revision_ > kind->mirror_.position().revision_);
-        return is_fresh() && is_store_reachable_ && !may_be_outdated;
+        return is_fresh() && !may_be_outdated;
     };
     const auto has_updates = [&] {
         const auto changed_at = kind->mirror_.changed_at();
@@ -380,6 +349,7 @@
                                                       kind->mirror_.compressed_listing())
                                 : http::make_response(no_update_status, listing_content_type, "");
     answer.set(freshness_header, is_confirmed() ? is_fresh_text : "0");
+    answer.set(age_header, std::to_string(kind->currency_.age(clock_.boot_now()).count()));
     answer.set(platform::header::store_era, std::to_string(era_.value()));
     co_await exchange.send(std::move(answer));
 }
--- a/services/front/front_settings.cpp
+++ b/services/front/front_settings.cpp
@@ -18,6 +18,21 @@
     return value.isNumeric() ? value.asDouble() : fallback;
 }
 
+/// In whole or fractional milliseconds, from 100 ms to one hour.
+auto delay_or(protocol::json::object_reader& reader, std::string_view field, state::duration fallback)
+    -> state::duration
+{
+    constexpr auto min_milliseconds = 100.0;
+    constexpr auto max_milliseconds = 3'600'000.0;
+    using milliseconds = std::chrono::duration<double, std::milli>;
+    const auto value = decimal_or(reader, field, milliseconds{fallback}.count());
+    if (value < min_milliseconds || value > max_milliseconds)
+        throw state::error{state::error_kind::invalid_settings,
+                           std::string{field} + " is not in the allowed range.",
+                           "Set it to 100 to 3600000 milliseconds."};
+    return std::chrono::duration_cast<state::duration>(milliseconds{value});
+}
+
 } // namespace
 
 auto read_front_settings(const std::string& path) -> front_settings
@@ -41,6 +56,9 @@
     settings.stop_timeout_ = std::chrono::seconds{reader.integer_or("stop_limit_s", 1, max_stop_seconds, 8)};
     settings.session_lifetime_ = std::chrono::milliseconds{static_cast<std::int64_t>(
         decimal_or(reader, "session_lifetime_s", default_session_seconds) * 1000.0)};
+    settings.configuration_delay_ = delay_or(reader, "configuration_delay_ms", settings.configuration_delay_);
+    settings.endpoints_delay_ = delay_or(reader, "endpoints_delay_ms", settings.endpoints_delay_);
+    settings.roll_outs_delay_ = delay_or(reader, "roll_outs_delay_ms", settings.roll_outs_delay_);
     if (reader.has("log"))
         settings.log_ = protocol::settings::read_log_settings(reader.child("log"));
     reader.finish();
--- a/services/front/front_settings.hpp
+++ b/services/front/front_settings.hpp
@@ -32,6 +32,11 @@
     /// The process is killed when it has not exited this long after the stop signal.
     state::duration stop_timeout_{std::chrono::seconds{8}};
     state::duration session_lifetime_{std::chrono::seconds{5}};
+    /// Time within which changes in the store must be in force: of the configuration, of the list of
+    /// endpoints, and of roll-outs.
+    state::duration configuration_delay_{std::chrono::seconds{2}};
+    state::duration endpoints_delay_{std::chrono::seconds{2}};
+    state::duration roll_outs_delay_{std::chrono::seconds{5}};
     protocol::settings::log_settings log_;
 };
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -123,7 +123,7 @@
     }
     for (const auto kind : object_kinds) {
         if (const auto confirmed_at = store_.confirmed_at(kind))
-            load.store_ages_[kind] = clock_.now() - *confirmed_at;
+            load.store_ages_[kind] = clock_.boot_now() - *confirmed_at;
     }
     const auto undecided = load.calls_ - load.decided_calls_;
     load.unknown_calls_ = undecided - std::min(undecided, decision_requests_());
--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -44,6 +44,11 @@
                          .incarnation_ = 1'700'000'000'000U,
                          .registered_at_ = 0xffff'ffff'ffff'ffffULL}};
     message.work_ = {{.endpoint_ = state::endpoint_id{"e1"}, .pending_ = std::chrono::milliseconds{240}}};
+    message.confirmations_ = {
+        {.kind_ = "some-kind",
+         .confirmation_ = {.position_ = {.era_ = state::store_era{2}, .revision_ = 0xffff'ffff'ffff'ffffULL},
+                           .fingerprint_ = 0x8000'0000'0000'0003ULL,
+                           .age_ = std::chrono::milliseconds{12}}}};
     return message;
 }
 
@@ -57,6 +62,11 @@
     const auto received = peer_message_from_text(to_text(sent));
     BOOST_TEST(received.from_.text() == sent.from_.text());
     BOOST_TEST((received.scope_ == sent.scope_));
+    const auto& confirmed = received.confirmations_.at(0);
+    BOOST_TEST(confirmed.kind_ == sent.confirmations_.at(0).kind_);
+    BOOST_TEST((confirmed.confirmation_.position_ == sent.confirmations_.at(0).confirmation_.position_));
+    BOOST_TEST(confirmed.confirmation_.fingerprint_ == sent.confirmations_.at(0).confirmation_.fingerprint_);
+    BOOST_TEST((confirmed.confirmation_.age_ == sent.confirmations_.at(0).confirmation_.age_));
     BOOST_TEST((received.roll_outs_.life_ == sent.roll_outs_.life_));
     BOOST_REQUIRE(received.roll_outs_.counts_.size() == 1U);
     BOOST_TEST((received.roll_outs_.counts_.front().key_ == sent.roll_outs_.counts_.front().key_));
