http: Drop all idle connections to a peer when one of them is silent

Connections to the store fall silent together. Each read that followed took the next idle one and cost 1.5 s and a pause, so after such a fault an instance with several idle connections was without the store for seconds although new connections worked.

Test: silent_peers/a_silent_idle_connection_costs_one_request, 3 of 4 requests failed before, 1 now.

--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -145,12 +145,20 @@
                   bool needs_new_connection) -> awaitable<std::unique_ptr<response_stream>>
 {
     auto connection = needs_new_connection ? nullptr : take_idle(peer);
+    const auto is_reused = connection != nullptr;
     if (!connection)
         connection = co_await connect(peer, time_limits.connect_);
-    auto stream =
-        co_await send_over(std::move(connection), peer, std::move(message), time_limits.first_byte_);
-    co_await stream->read_header(time_limits.first_byte_);
-    co_return stream;
+    try {
+        auto stream =
+            co_await send_over(std::move(connection), peer, std::move(message), time_limits.first_byte_);
+        co_await stream->read_header(time_limits.first_byte_);
+        co_return stream;
+    } catch (const client_error& fault) {
+        // Connections to a peer fall silent together.
+        if (is_reused && fault.fault() == client_fault::silent)
+            drop_idle(peer);
+        throw;
+    }
 }
 
 auto client::send(const state::network_address& peer, request message, const timeouts& time_limits,
--- a/tests/transport/silent_peers.cpp
+++ b/tests/transport/silent_peers.cpp
@@ -44,10 +44,92 @@
     co_return stream->status();
 }
 
+/// Answers requests on each connection until the connections are silenced; later ones are answered again.
+class silenced_server {
+public:
+    explicit silenced_server(asio::io_context& context)
+        : acceptor_{context, {asio::ip::address_v4::loopback(), 0}}
+    {
+        asio::co_spawn(context, accept(), asio::detached);
+    }
+
+    auto address() const -> state::network_address
+    {
+        return {.host_ = "127.0.0.1", .port_ = acceptor_.local_endpoint().port()};
+    }
+
+    auto silence_connections() -> void { first_answered_ = accepted_; }
+
+    auto stop() -> void { acceptor_.close(); }
+
+private:
+    auto accept() -> http::awaitable<void>
+    {
+        while (true) {
+            auto socket = co_await acceptor_.async_accept(asio::use_awaitable);
+            asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket), accepted_++), asio::detached);
+        }
+    }
+
+    auto serve(asio::ip::tcp::socket socket, int number) -> http::awaitable<void>
+    {
+        auto bytes = std::array<char, 65'536>{};
+        while (true) {
+            co_await socket.async_read_some(asio::buffer(bytes), asio::use_awaitable);
+            if (number >= first_answered_)
+                co_await asio::async_write(socket, asio::buffer(response), asio::use_awaitable);
+        }
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    int accepted_{0};
+    int first_answered_{0};
+};
+
+auto fetch_once(http::client& client, state::network_address peer) -> http::awaitable<bool>
+{
+    try {
+        co_await client.fetch(peer, http::request{http::beast::http::verb::get, "/", 11},
+                              {.first_byte_ = 200ms});
+        co_return true;
+    } catch (const http::client_error&) {
+        co_return false;
+    }
+}
+
+auto fetch_after_silence(http::client& client, silenced_server& server, int& failed) -> http::awaitable<void>
+{
+    constexpr auto idle_connections = 3;
+    constexpr auto fetches = 4;
+    auto timer = asio::steady_timer{client.context(), 100ms};
+    for (auto i = 0; i < idle_connections; ++i)
+        asio::co_spawn(client.context(), fetch_once(client, server.address()), asio::detached);
+    co_await timer.async_wait(asio::use_awaitable);
+    server.silence_connections();
+    for (auto i = 0; i < fetches; ++i) {
+        const auto is_answered = co_await fetch_once(client, server.address());
+        failed += is_answered ? 0 : 1;
+    }
+    server.stop();
+    client.drop_idle(server.address());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(silent_peers)
 
+/// Guards against reads that fail one after the other over connections that fell silent together.
+BOOST_AUTO_TEST_CASE(a_silent_idle_connection_costs_one_request)
+{
+    auto context = asio::io_context{};
+    auto server = silenced_server{context};
+    auto client = http::client{context};
+    auto failed = 0;
+    asio::co_spawn(context, fetch_after_silence(client, server, failed), asio::detached);
+    context.run_for(5s);
+    BOOST_TEST(failed == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_survives_a_peer_that_reads_nothing_for_some_seconds)
 {
     auto context = asio::io_context{};
