forwarding: Log how far a request had come when its endpoint crashed

The log of a crash named the requests in flight, but neither whether their answers had begun nor the parts of their prompts, which tell a request that may have caused the crash from its neighbours. No decision changes.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -219,6 +219,8 @@
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
     auto apply_notice(const state::endpoint_id& endpoint, const endpoint_notice& notice) -> void;
+    /// How far the running attempt has come, and the parts of its prompt, for the log.
+    auto progress_of(const entry& item) -> std::string;
     auto close_attempt(entry& item, const forward_attempt_result& result) -> running_attempt;
     auto update_endpoint_state(const entry& item, const running_attempt& attempt,
                                const forward_attempt_result& result) -> void;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -7,6 +7,7 @@
 #include "state/invariant.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <utility>
 
 namespace buckthorndale::coordination::forwarding {
@@ -240,8 +241,12 @@
     auto* item = find(result.attempt_);
     if (item == nullptr)
         return;
-    if (result.outcome_ != forward_outcome::complete)
-        log(*item, "attempt_over", std::string{to_string(result.outcome_)});
+    if (result.outcome_ != forward_outcome::complete) {
+        auto reason = std::string{to_string(result.outcome_)};
+        if (result.outcome_ == forward_outcome::crashed)
+            reason.append(", ").append(progress_of(*item));
+        log(*item, "attempt_over", std::move(reason));
+    }
     const auto attempt = close_attempt(*item, result);
     update_endpoint_state(*item, attempt, result);
     // A pause that an endpoint asks for says nothing about its version.
@@ -251,6 +256,25 @@
     dispatch_queued();
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::progress_of(const entry& item) -> std::string
+{
+    constexpr auto max_logged_parts = std::size_t{8};
+    constexpr auto max_logged_characters = std::size_t{32};
+    const auto& attempt = *item.attempt_;
+    auto text = std::string{"not begun"};
+    if (attempt.first_byte_time_) {
+        const auto begun = clock_.now() - attempt.started_ - *attempt.first_byte_time_;
+        text = "begun " +
+               std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(begun).count()) +
+               " ms ago";
+    }
+    text += ", parts";
+    for (const auto& part : item.request_.prompt_ | std::views::take(max_logged_parts))
+        text.append(" ").append(part.id_, 0, max_logged_characters);
+    return text;
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::close_attempt(entry& item, const forward_attempt_result& result)
     -> running_attempt
