forwarding: Stop requests with a part that crashes endpoints

Callers lost their answers to endpoints that crashed one after the other, under requests that shared one part of their prompts. Only whole requests were known by a crash, and no two of these are alike; each was sent again like any other broken request and crashed a second endpoint.

All parts of the requests whose answers had not begun at a crash are now suspects. Answers acquit them, at all instances; a part that stays, is present at three crashes in sequence, and explains most of them, is stopped everywhere until a trial succeeds. Crashes that happen together count as one. The first parts, which most callers share, are acquitted within a second, so sound callers are served.

A sound request whose answer was being written at two crashes was refused as a suspect, too; it is none any more.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -16,6 +16,7 @@
 #include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/retry/retry_budget.hpp"
 #include "coordination/suspicion/crash_suspects.hpp"
+#include "coordination/suspicion/part_suspects.hpp"
 #include "coordination/time/clock_source.hpp"
 #include "coordination/time/random_source.hpp"
 #include "state/routing_table.hpp"
@@ -26,6 +27,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace buckthorndale::coordination::forwarding {
@@ -41,6 +43,10 @@
     bool is_success_{true};
 };
 
+inline constexpr auto crashing_part_detail = std::string_view{
+    "Endpoints crashed when they began to answer prompts with a part of this one. Change it before "
+    "sending it again."};
+
 /// Makes every decision about forwarded requests: route, owner, version, model, endpoint, retry, resumption
 /// and final response. Performs no input or output. Not thread-safe; all calls come from one thread.
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -95,10 +101,28 @@
         return work_.report(pool_.own_work(), now);
     }
 
-    /// Records another router's report that content was in flight when an endpoint crashed.
-    auto record_remote_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void
+    /// Records another router's report of a request that may have crashed an endpoint.
+    auto record_remote_crash(const crash_notice& crash) -> void
+    {
+        const auto now = clock_.now();
+        suspects_.add_remote(crash.content_, crash.endpoint_, now);
+        part_suspects_.record_crash(
+            {.endpoint_ = crash.endpoint_, .parts_ = crash.parts_, .sent_at_ = now - crash.sent_ago_}, now);
+    }
+
+    /// Records another router's report of an answer that clears a part of prompts.
+    auto record_remote_cleared_part(const cleared_part& cleared) -> void
     {
-        suspects_.add_remote(content, endpoint, clock_.now());
+        part_suspects_.record_answer({cleared.part_}, clock_.now() - cleared.began_ago_);
+    }
+
+    /// Records another router's report of a part that crashes endpoints.
+    auto record_remote_blocked_part(const suspicion::blocked_part& blocked) -> void;
+
+    /// The parts of prompts that are not let through, which instances that started later must learn.
+    auto blocked_parts() const -> std::vector<suspicion::blocked_part>
+    {
+        return part_suspects_.blocked_parts(clock_.now());
     }
 
     /// Excludes an endpoint from new requests that announced its shutdown to another instance.
@@ -151,6 +175,8 @@
         bool is_replacement_{false};
         /// Whether the attempt already counted as evidence, because it stalled.
         bool is_judged_{false};
+        /// Whether the attempt already counted as an answer that clears the parts of its prompt.
+        bool has_cleared_parts_{false};
     };
 
     struct entry {
@@ -182,6 +208,10 @@
         state::service_name last_service_;
         state::version_name last_version_;
         std::set<state::endpoint_id> excluded_;
+        /// The parts of the prompt that other requests may share.
+        std::vector<state::prompt_part_key> shared_parts_;
+        /// Whether the request shows if blocked parts still crash endpoints.
+        bool is_trial_{false};
     };
 
     auto admit(state::request_handle handle, forward_request request) -> std::optional<routing::refusal>;
@@ -219,6 +249,26 @@
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
     auto apply_notice(const state::endpoint_id& endpoint, const endpoint_notice& notice) -> void;
+    /// Records the request as a suspect if its answer had not begun, or only just, when the endpoint crashed.
+    auto record_crash(const entry& item, const running_attempt& attempt) -> void;
+    /// When the attempt's answer began, if it has gone on for a while since.
+    auto answer_began_at(const running_attempt& attempt) const -> std::optional<state::time_point>;
+    /// Records that an answer on the request's parts began and goes on.
+    auto clear_parts(entry& item, running_attempt& attempt, state::time_point began_at) -> void;
+
+    /// A random number from 0 to 1.
+    auto draw() -> double { return static_cast<double>(random_.next() >> 11U) * 0x1.0p-53; }
+
+    /// Evaluates the evidence on parts of prompts, from answers in progress and from crashes.
+    auto judge_parts() -> void;
+    /// Ends the requests with blocked parts whose answers have not begun.
+    auto stop_blocked_requests() -> void;
+
+    auto is_blocked(const entry& item) const -> bool
+    {
+        return !item.is_trial_ && part_suspects_.is_blocked(item.shared_parts_);
+    }
+
     /// How far the running attempt has come, and the parts of its prompt, for the log.
     auto progress_of(const entry& item) -> std::string;
     auto close_attempt(entry& item, const forward_attempt_result& result) -> running_attempt;
@@ -258,6 +308,8 @@
     work_exchange work_;
     std::map<state::service_name, admission::latency_window> windows_;
     suspicion::crash_suspects suspects_;
+    suspicion::part_suspects part_suspects_;
+    std::vector<cleared_part> cleared_parts_;
     std::map<state::service_name, retry::retry_budget> budgets_;
     std::map<state::request_handle, entry> entries_;
     std::map<state::attempt_handle, state::request_handle> owners_;
@@ -270,4 +322,5 @@
 } // namespace buckthorndale::coordination::forwarding
 
 #include "coordination/forwarding/forward_engine_attempts.hpp"
+#include "coordination/forwarding/forward_engine_crashes.hpp"
 #include "coordination/forwarding/forward_engine_requests.hpp"
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -118,8 +118,9 @@
     }
     const auto query = query_for(*item, pick_service(*item), *better);
     const auto choice = pool_.choose(query, clock_.now(), random_.next());
-    const auto can_escalate =
-        choice && !pool_.is_ejected(choice->endpoint_, now) && budgets_[attempt.service_].has_retry();
+    const auto can_escalate = choice && !pool_.is_ejected(choice->endpoint_, now) &&
+                              budgets_[attempt.service_].has_retry() && !is_blocked(*item) &&
+                              !item->is_trial_;
     // The answer at hand is kept unless a failure of the better one could be made up for.
     if (!can_escalate) {
         attempt.is_held_ = false;
@@ -247,6 +248,8 @@
             reason.append(", ").append(progress_of(*item));
         log(*item, "attempt_over", std::move(reason));
     }
+    if (result.outcome_ == forward_outcome::complete && item->attempt_->first_byte_time_)
+        clear_parts(*item, *item->attempt_, item->attempt_->started_ + *item->attempt_->first_byte_time_);
     const auto attempt = close_attempt(*item, result);
     update_endpoint_state(*item, attempt, result);
     // A pause that an endpoint asks for says nothing about its version.
@@ -327,8 +330,7 @@
         return;
     case forward_outcome::crashed:
         pool_.mark_unreachable(attempt.endpoint_, now);
-        suspects_.add_local(item.request_.content_, attempt.endpoint_, now);
-        port_.announce_crash(attempt.endpoint_, item.request_.content_);
+        record_crash(item, attempt);
         return;
     case forward_outcome::wrong_endpoint:
         pool_.mark_wrong_address(attempt.endpoint_);
@@ -484,7 +486,10 @@
     constexpr auto max_unreachable = 6;
     if (outcome == forward_outcome::not_sent)
         return item.unreachable_count_ < max_unreachable;
-    if (outcome == forward_outcome::crashed && suspects_.is_blocked(item.request_.content_))
+    if (outcome == forward_outcome::crashed &&
+        (item.is_trial_ || suspects_.is_blocked(item.request_.content_)))
+        return false;
+    if (is_blocked(item))
         return false;
     constexpr auto min_time_left = state::duration{std::chrono::milliseconds{50}};
     return item.deadline_ - clock_.now() >= min_time_left;
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -75,6 +75,15 @@
         return refusal_of(
             error_kind::no_capacity,
             "Endpoints crashed while they ran this request. Change it before sending it again.");
+    item.shared_parts_ = shared_parts(request);
+    if (is_blocked(item)) {
+        item.is_trial_ = part_suspects_.begin_trial(item.shared_parts_, now, draw());
+        if (!item.is_trial_)
+            return routing::refusal{.kind_ = error_kind::no_capacity,
+                                    .retry_after_ = part_suspects_.time_to_trial(item.shared_parts_, now),
+                                    .detail_ = std::string{crashing_part_detail}};
+        port_.announce_blocked_parts(part_suspects_.blocked_parts(now));
+    }
     auto allowed = route->time_limit_;
     if (request.time_allowed_ > state::duration::zero())
         allowed = std::min(allowed, request.time_allowed_);
@@ -175,6 +184,12 @@
 auto forward_engine<Clock, Random, Port>::start(entry& item, const state::service_name& service,
                                                 const std::string& reason) -> void
 {
+    // The request may have waited while its parts were found to crash endpoints.
+    if (is_blocked(item)) {
+        refuse(item, item.may_have_run_ ? state::error_kind::outcome_unknown : state::error_kind::no_capacity,
+               std::string{crashing_part_detail});
+        return;
+    }
     const auto choice = pool_.choose(query_for(item, service, item.model_), clock_.now(), random_.next());
     if (!choice) {
         const auto kind =
@@ -300,6 +315,7 @@
 auto forward_engine<Clock, Random, Port>::tick() -> void
 {
     const auto now = clock_.now();
+    judge_parts();
     sweep_expired(now);
     sweep_late_attempts(now);
     resume_waiting_streams();
@@ -307,6 +323,7 @@
     sweep_waiting(now);
     pins_.forget_old(now);
     suspects_.forget_old(now);
+    part_suspects_.forget_old(now);
     pool_.forget_old(now);
     for (const auto& service : roll_outs_.judge(now))
         port_.log(forward_log{.action_ = "halt_version",
--- a/libraries/coordination/forwarding/forward_port.hpp
+++ b/libraries/coordination/forwarding/forward_port.hpp
@@ -1,34 +1,43 @@
 #pragma once
 
+#include "coordination/forwarding/crash_notice.hpp"
 #include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/forward_command.hpp"
 #include "coordination/forwarding/forward_log.hpp"
 #include "coordination/routing/refusal.hpp"
+#include "coordination/suspicion/part_suspects.hpp"
 #include "state/identifiers.hpp"
 
+#include <vector>
+
 namespace buckthorndale::coordination::forwarding {
 
 /// The operations that the forward engine needs from the network thread; tests substitute a fake.
 template <typename Type>
-concept forward_port = requires(Type& port, state::request_handle request, state::attempt_handle attempt,
-                                const forward_command& command, const routing::refusal& why,
-                                const forward_log& line, const state::endpoint_id& endpoint,
-                                state::content_fingerprint content, const leaving_endpoint& leaving) {
-    /// Starts an attempt; its end is reported through forward_engine::attempt_ended.
-    port.dispatch(command);
-    /// Cancels an attempt; its end is not reported.
-    port.cancel(attempt);
-    /// Forwards the response of a held attempt to the caller.
-    port.release(request, attempt);
-    /// Completes the caller's response with that of the attempt.
-    port.finish(request, attempt);
-    /// Sends a refusal to the caller, or aborts the response if events were already delivered.
-    port.refuse(request, why);
-    /// Announces to the other instances that this content was in flight when an endpoint crashed.
-    port.announce_crash(endpoint, content);
-    /// Announces to the other instances that an endpoint is shutting down.
-    port.announce_leaving(leaving);
-    port.log(line);
-};
+concept forward_port =
+    requires(Type& port, state::request_handle request, state::attempt_handle attempt,
+             const forward_command& command, const routing::refusal& why, const forward_log& line,
+             const crash_notice& crash, const std::vector<cleared_part>& cleared,
+             const std::vector<suspicion::blocked_part>& blocked, const leaving_endpoint& leaving) {
+        /// Starts an attempt; its end is reported through forward_engine::attempt_ended.
+        port.dispatch(command);
+        /// Cancels an attempt; its end is not reported.
+        port.cancel(attempt);
+        /// Forwards the response of a held attempt to the caller.
+        port.release(request, attempt);
+        /// Completes the caller's response with that of the attempt.
+        port.finish(request, attempt);
+        /// Sends a refusal to the caller, or aborts the response if events were already delivered.
+        port.refuse(request, why);
+        /// Announces to the other instances that a request may have crashed an endpoint.
+        port.announce_crash(crash);
+        /// Announces to the other instances that answers on suspected parts of prompts began and went on.
+        port.announce_cleared_parts(cleared);
+        /// Announces to the other instances which parts of prompts crash endpoints.
+        port.announce_blocked_parts(blocked);
+        /// Announces to the other instances that an endpoint is shutting down.
+        port.announce_leaving(leaving);
+        port.log(line);
+    };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_request.hpp
+++ b/libraries/coordination/forwarding/forward_request.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/identifiers.hpp"
+#include "state/stable_hash.hpp"
 #include "state/units.hpp"
 
 #include <algorithm>
@@ -61,4 +62,15 @@
     return length - std::clamp<std::int64_t>(request.prompt_.back().tokens_.value(), 0, length);
 }
 
+/// The parts of the prompt that other requests may share.
+inline auto shared_parts(const forward_request& request) -> std::vector<state::prompt_part_key>
+{
+    // Callers choose the number of parts, and each is reported to the other instances after a crash.
+    constexpr auto max_parts = std::size_t{32};
+    auto keys = std::vector<state::prompt_part_key>{};
+    for (auto i = std::size_t{0}; i + 1 < request.prompt_.size() && i < max_parts; ++i)
+        keys.emplace_back(state::stable_hash(request.prompt_[i].id_));
+    return keys;
+}
+
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -2,6 +2,8 @@
 
 #include "protocol/json/object_reader.hpp"
 #include "protocol/json/text.hpp"
+#include "state/error.hpp"
+#include "state/number_from_text.hpp"
 
 #include <json/value.h>
 
@@ -156,6 +158,15 @@
     return work;
 }
 
+auto read_part(const std::string& text) -> state::prompt_part_key
+{
+    const auto number = state::number_from_text<std::uint64_t>(text);
+    if (!number)
+        throw state::error{state::error_kind::invalid_request, "A part of a prompt is not a number.",
+                           "Send the hash of its ID as decimal digits."};
+    return state::prompt_part_key{*number};
+}
+
 /// Older builds send no era.
 auto read_era(json::object_reader& reader) -> state::store_era
 {
@@ -188,8 +199,24 @@
         auto crash = Json::Value{Json::objectValue};
         crash["endpoint"] = item.endpoint_.text();
         crash["content"] = std::to_string(item.content_.value());
+        crash["sent_us"] = Json::Int64{item.sent_ago_.count()};
+        for (const auto part : item.parts_)
+            crash["parts"].append(std::to_string(part.value()));
         value["crashes"].append(crash);
     }
+    for (const auto& item : message.cleared_parts_) {
+        auto cleared = Json::Value{Json::objectValue};
+        cleared["part"] = std::to_string(item.part_.value());
+        cleared["began_us"] = Json::Int64{item.began_ago_.count()};
+        value["cleared_parts"].append(cleared);
+    }
+    for (const auto& item : message.blocked_parts_) {
+        auto blocked = Json::Value{Json::objectValue};
+        blocked["part"] = std::to_string(item.part_.value());
+        blocked["crashed_us"] = Json::Int64{item.crashed_ago_.count()};
+        blocked["trial_us"] = Json::Int64{std::max(item.trial_in_, state::duration::zero()).count()};
+        value["blocked_parts"].append(blocked);
+    }
     for (const auto& item : message.leaving_) {
         auto leaving = Json::Value{Json::objectValue};
         leaving["endpoint"] = item.endpoint_.text();
@@ -229,9 +256,23 @@
                                             .age_ = state::duration{item.integer("age_us", 0, max_value)},
                                             .is_halted_ = item.boolean_or("is_halted", false),
                                             .is_accepted_ = item.boolean_or("is_accepted", false)});
-    for (auto& item : reader.children("crashes"))
-        message.crashes_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
-                                    .content_ = state::content_fingerprint{item.number("content")}});
+    for (auto& item : reader.children("crashes")) {
+        message.crashes_.push_back(
+            {.endpoint_ = state::endpoint_id{item.text("endpoint")},
+             .content_ = state::content_fingerprint{item.number("content")},
+             .sent_ago_ = state::duration{item.integer_or("sent_us", 0, max_value, 0)}});
+        for (const auto& part : item.texts("parts"))
+            message.crashes_.back().parts_.push_back(read_part(part));
+    }
+    for (auto& item : reader.children("cleared_parts"))
+        message.cleared_parts_.push_back(
+            {.part_ = state::prompt_part_key{item.number("part")},
+             .began_ago_ = state::duration{item.integer("began_us", 0, max_value)}});
+    for (auto& item : reader.children("blocked_parts"))
+        message.blocked_parts_.push_back(
+            {.part_ = state::prompt_part_key{item.number("part")},
+             .crashed_ago_ = state::duration{item.integer("crashed_us", 0, max_value)},
+             .trial_in_ = state::duration{item.integer("trial_us", 0, max_value)}});
     for (auto& item : reader.children("leaving"))
         message.leaving_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
                                     .incarnation_ = item.number("incarnation"),
--- a/libraries/protocol/peer/peer_message.hpp
+++ b/libraries/protocol/peer/peer_message.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "coordination/forwarding/crash_notice.hpp"
 #include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/membership/currency.hpp"
+#include "coordination/suspicion/part_suspects.hpp"
 #include "state/identifiers.hpp"
 
 #include <optional>
@@ -14,12 +16,6 @@
 /// The datagrams that front instances send directly to each other.
 namespace buckthorndale::protocol::peer {
 
-/// A request content that was in flight when an endpoint crashed.
-struct crash_report {
-    state::endpoint_id endpoint_;
-    state::content_fingerprint content_;
-};
-
 /// What the sender knows to be current.
 struct kind_confirmation {
     /// The kind of objects.
@@ -32,7 +28,11 @@
     state::instance_id from_;
     coordination::forwarding::report_scope scope_{coordination::forwarding::report_scope::own};
     coordination::forwarding::roll_out_report roll_outs_;
-    std::vector<crash_report> crashes_;
+    std::vector<coordination::forwarding::crash_notice> crashes_;
+    /// Parts of prompts on which answers began and went on at the sender.
+    std::vector<coordination::forwarding::cleared_part> cleared_parts_;
+    /// Parts of prompts that crash endpoints.
+    std::vector<coordination::suspicion::blocked_part> blocked_parts_;
     /// Endpoints that announced their shutdown to the sender.
     std::vector<coordination::forwarding::leaving_endpoint> leaving_;
     /// The pending work of each endpoint; unset if the message does not report it.
--- a/libraries/state/identifiers.hpp
+++ b/libraries/state/identifiers.hpp
@@ -33,5 +33,7 @@
 using attempt_handle = strong_number<struct attempt_handle_tag, std::uint64_t>;
 /// A stable hash of a request's content, the same on every instance.
 using content_fingerprint = strong_number<struct content_fingerprint_tag, std::uint64_t>;
+/// A stable hash of the ID of a part of a prompt, the same on every instance.
+using prompt_part_key = strong_number<struct prompt_part_key_tag, std::uint64_t>;
 
 } // namespace buckthorndale::state
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -28,6 +28,8 @@
 /// Instances that reach the same roll-out step record it with different delays, in multiples of this.
 constexpr auto recording_delay_step = state::duration{std::chrono::milliseconds{150}};
 constexpr auto recording_delay_steps = std::uint64_t{5};
+/// An instance that has started hears of blocked parts within about a second.
+constexpr auto peers_per_report = 3;
 
 } // namespace
 
@@ -222,6 +224,12 @@
 {
     std::visit(state::overloaded{
                    [this](const broadcast_to_peers& item) { peers_.send_to_all(item.message_); },
+                   [this](const send_to_some_peers& item) {
+                       for (auto i = 0; i < peers_per_report; ++i) {
+                           if (const auto peer = peers_.random_peer(random_.next()))
+                               peers_.send({*peer}, item.message_);
+                       }
+                   },
                    [this](const report_by_scope& item) { send_reports(item); },
                    [this](const record_roll_out_steps& item) {
                        for (const auto& step : item.steps_) {
--- a/services/front/decision_port.hpp
+++ b/services/front/decision_port.hpp
@@ -44,10 +44,24 @@
         post_to_network(refuse_request{request, refusal});
     }
 
-    auto announce_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void
+    auto announce_crash(const forwarding::crash_notice& crash) -> void
     {
         auto message = protocol::peer::peer_message{.from_ = instance_};
-        message.crashes_.push_back({.endpoint_ = endpoint, .content_ = content});
+        message.crashes_.push_back(crash);
+        post_to_control(broadcast_to_peers{std::move(message)});
+    }
+
+    auto announce_cleared_parts(const std::vector<forwarding::cleared_part>& cleared) -> void
+    {
+        auto message = protocol::peer::peer_message{.from_ = instance_};
+        message.cleared_parts_ = cleared;
+        post_to_control(broadcast_to_peers{std::move(message)});
+    }
+
+    auto announce_blocked_parts(const std::vector<coordination::suspicion::blocked_part>& blocked) -> void
+    {
+        auto message = protocol::peer::peer_message{.from_ = instance_};
+        message.blocked_parts_ = blocked;
         post_to_control(broadcast_to_peers{std::move(message)});
     }
 
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -79,7 +79,11 @@
 auto decision_worker::handle_peer_message(const protocol::peer::peer_message& message) -> void
 {
     for (const auto& crash : message.crashes_)
-        engine_.record_remote_crash(crash.endpoint_, crash.content_);
+        engine_.record_remote_crash(crash);
+    for (const auto& cleared : message.cleared_parts_)
+        engine_.record_remote_cleared_part(cleared);
+    for (const auto& blocked : message.blocked_parts_)
+        engine_.record_remote_blocked_part(blocked);
     for (const auto& leaving : message.leaving_)
         engine_.record_remote_leaving(leaving);
     if (message.work_)
@@ -92,8 +96,10 @@
 {
     engine_.tick();
     update_gauge();
-    if (++ticks_ % ticks_per_report == 0)
+    if (++ticks_ % ticks_per_report == 0) {
         report_roll_outs();
+        report_blocked_parts();
+    }
     if (ticks_ % ticks_per_work_report == 0)
         report_work();
 }
@@ -116,6 +122,13 @@
         port_.post_to_control(record_roll_out_steps{std::move(steps)});
 }
 
+auto decision_worker::report_blocked_parts() -> void
+{
+    auto blocked = engine_.blocked_parts();
+    if (!blocked.empty())
+        port_.post_to_control(send_to_some_peers{{.from_ = instance_, .blocked_parts_ = std::move(blocked)}});
+}
+
 auto decision_worker::report_work() -> void
 {
     auto work = engine_.share_work();
--- a/services/front/decision_worker.hpp
+++ b/services/front/decision_worker.hpp
@@ -45,6 +45,7 @@
     auto handle_peer_message(const protocol::peer::peer_message& message) -> void;
     auto tick() -> void;
     auto report_roll_outs() -> void;
+    auto report_blocked_parts() -> void;
     auto report_work() -> void;
     auto update_gauge() -> void;
 
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -96,6 +96,11 @@
     protocol::peer::peer_message message_;
 };
 
+/// Sent to a few instances, chosen at random.
+struct send_to_some_peers {
+    protocol::peer::peer_message message_;
+};
+
 /// One report in three scopes; its recipients depend on which instances watch the store.
 struct report_by_scope {
     protocol::peer::peer_message own_;
@@ -107,6 +112,7 @@
     std::vector<forwarding::roll_out_step> steps_;
 };
 
-using control_action = std::variant<broadcast_to_peers, report_by_scope, record_roll_out_steps>;
+using control_action =
+    std::variant<broadcast_to_peers, send_to_some_peers, report_by_scope, record_roll_out_steps>;
 
 } // namespace buckthorndale::services::front
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -49,8 +49,11 @@
         refusals_.push_back(why);
     }
 
-    auto announce_crash(const state::endpoint_id& /*endpoint*/, state::content_fingerprint /*content*/)
-        -> void
+    auto announce_crash(const forwarding::crash_notice& /*crash*/) -> void {}
+
+    auto announce_cleared_parts(const std::vector<forwarding::cleared_part>& /*cleared*/) -> void {}
+
+    auto announce_blocked_parts(const std::vector<coordination::suspicion::blocked_part>& /*blocked*/) -> void
     {}
 
     auto announce_leaving(const forwarding::leaving_endpoint& leaving) -> void
--- a/tests/coordination/slow_versions.cpp
+++ b/tests/coordination/slow_versions.cpp
@@ -103,7 +103,11 @@
         auto refuse(state::request_handle /*request*/, const coordination::routing::refusal& /*why*/) -> void
         {}
 
-        auto announce_crash(const state::endpoint_id& /*endpoint*/, state::content_fingerprint /*content*/)
+        auto announce_crash(const forwarding::crash_notice& /*crash*/) -> void {}
+
+        auto announce_cleared_parts(const std::vector<forwarding::cleared_part>& /*cleared*/) -> void {}
+
+        auto announce_blocked_parts(const std::vector<coordination::suspicion::blocked_part>& /*blocked*/)
             -> void
         {}
 
--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -38,8 +38,16 @@
                                      .age_ = std::chrono::milliseconds{1500},
                                      .is_halted_ = true,
                                      .is_accepted_ = true}}};
-    message.crashes_ = {{.endpoint_ = state::endpoint_id{"e1"},
-                         .content_ = state::content_fingerprint{0x8000'0000'0000'0001ULL}}};
+    message.crashes_ = {
+        {.endpoint_ = state::endpoint_id{"e1"},
+         .content_ = state::content_fingerprint{0x8000'0000'0000'0001ULL},
+         .parts_ = {state::prompt_part_key{0xffff'ffff'ffff'fffeULL}, state::prompt_part_key{3}},
+         .sent_ago_ = std::chrono::milliseconds{35}}};
+    message.cleared_parts_ = {
+        {.part_ = state::prompt_part_key{11}, .began_ago_ = std::chrono::milliseconds{250}}};
+    message.blocked_parts_ = {{.part_ = state::prompt_part_key{0xffff'ffff'ffff'fffdULL},
+                               .crashed_ago_ = std::chrono::seconds{2},
+                               .trial_in_ = std::chrono::seconds{20}}};
     message.leaving_ = {{.endpoint_ = state::endpoint_id{"e2"},
                          .incarnation_ = 1'700'000'000'000U,
                          .registered_at_ = 0xffff'ffff'ffff'ffffULL}};
@@ -62,6 +70,13 @@
     const auto received = peer_message_from_text(to_text(sent));
     BOOST_TEST(received.from_.text() == sent.from_.text());
     BOOST_TEST((received.scope_ == sent.scope_));
+    BOOST_TEST((received.crashes_.at(0).parts_ == sent.crashes_.at(0).parts_));
+    BOOST_TEST((received.crashes_.at(0).sent_ago_ == sent.crashes_.at(0).sent_ago_));
+    BOOST_TEST((received.cleared_parts_.at(0).part_ == sent.cleared_parts_.at(0).part_));
+    BOOST_TEST((received.cleared_parts_.at(0).began_ago_ == sent.cleared_parts_.at(0).began_ago_));
+    BOOST_TEST((received.blocked_parts_.at(0).part_ == sent.blocked_parts_.at(0).part_));
+    BOOST_TEST((received.blocked_parts_.at(0).crashed_ago_ == sent.blocked_parts_.at(0).crashed_ago_));
+    BOOST_TEST((received.blocked_parts_.at(0).trial_in_ == sent.blocked_parts_.at(0).trial_in_));
     const auto& confirmed = received.confirmations_.at(0);
     BOOST_TEST(confirmed.kind_ == sent.confirmations_.at(0).kind_);
     BOOST_TEST((confirmed.confirmation_.position_ == sent.confirmations_.at(0).confirmation_.position_));
--- a/tests/world/crashing_part_fleet.cpp
+++ b/tests/world/crashing_part_fleet.cpp
@@ -15,6 +15,9 @@
 
 const auto service = state::service_name{"advice"};
 constexpr auto tick_interval = state::duration{20ms};
+/// Blocked parts are reported once a second.
+constexpr auto ticks_per_report = std::uint64_t{50};
+constexpr auto peers_per_report = 3;
 constexpr auto network_time = state::duration{1ms};
 /// How long an instance takes to see that a broken connection's endpoint accepts no other.
 constexpr auto crash_detection_time = state::duration{3ms};
@@ -61,7 +64,9 @@
         fleet_.finish(request, false, why.detail_);
     }
 
-    auto announce_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void;
+    auto announce_crash(const forwarding::crash_notice& crash) -> void;
+    auto announce_cleared_parts(const std::vector<forwarding::cleared_part>& cleared) -> void;
+    auto announce_blocked_parts(const std::vector<coordination::suspicion::blocked_part>& blocked) -> void;
 
     auto announce_leaving(const forwarding::leaving_endpoint& /*leaving*/) -> void {}
 
@@ -84,11 +89,26 @@
     forwarding::forward_engine<virtual_clock, coordination::time::seeded_random, engine_port> engine_;
 };
 
-auto crashing_part_fleet::engine_port::announce_crash(const state::endpoint_id& endpoint,
-                                                      state::content_fingerprint content) -> void
+auto crashing_part_fleet::engine_port::announce_crash(const forwarding::crash_notice& crash) -> void
 {
-    fleet_.tell_others(number_, [endpoint, content](instance& other) {
-        other.engine_.record_remote_crash(endpoint, content);
+    fleet_.tell_others(number_, [crash](instance& other) { other.engine_.record_remote_crash(crash); });
+}
+
+auto crashing_part_fleet::engine_port::announce_cleared_parts(
+    const std::vector<forwarding::cleared_part>& cleared) -> void
+{
+    fleet_.tell_others(number_, [cleared](instance& other) {
+        for (const auto& item : cleared)
+            other.engine_.record_remote_cleared_part(item);
+    });
+}
+
+auto crashing_part_fleet::engine_port::announce_blocked_parts(
+    const std::vector<coordination::suspicion::blocked_part>& blocked) -> void
+{
+    fleet_.tell_others(number_, [blocked](instance& other) {
+        for (const auto& item : blocked)
+            other.engine_.record_remote_blocked_part(item);
     });
 }
 
@@ -173,10 +193,24 @@
 {
     time_.after(tick_interval, [this, where] {
         instances_.at(where)->engine_.tick();
+        if (++ticks_ % (ticks_per_report * instances_.size()) < instances_.size())
+            report_blocked_parts(where);
         schedule_tick(where);
     });
 }
 
+auto crashing_part_fleet::report_blocked_parts(std::size_t where) -> void
+{
+    const auto blocked = instances_.at(where)->engine_.blocked_parts();
+    for (auto i = 0; i < peers_per_report && !blocked.empty(); ++i) {
+        const auto other = random_.below(instances_.size());
+        time_.after(network_time, [this, other, blocked] {
+            for (const auto& item : blocked)
+                instances_.at(other)->engine_.record_remote_blocked_part(item);
+        });
+    }
+}
+
 auto crashing_part_fleet::publish() -> void
 {
     auto listed = std::vector<state::registered_endpoint>{};
--- a/tests/world/crashing_part_fleet.hpp
+++ b/tests/world/crashing_part_fleet.hpp
@@ -95,6 +95,7 @@
     auto schedule_tick(std::size_t where) -> void;
     auto start_instance(std::size_t where) -> void;
     auto send_request(bool is_guilty) -> void;
+    auto report_blocked_parts(std::size_t where) -> void;
     auto publish() -> void;
     auto dispatch(std::size_t where, const coordination::forwarding::forward_command& command) -> void;
     auto begin_answer(std::size_t number) -> void;
@@ -114,6 +115,7 @@
     virtual_clock clock_{time_};
     coordination::time::seeded_random random_;
     state::time_point started_;
+    std::uint64_t ticks_{0};
     std::vector<std::unique_ptr<instance>> instances_;
     std::vector<fake_endpoint> endpoints_;
     std::vector<attempt> attempts_;
--- a/tests/world/forward_simulation.cpp
+++ b/tests/world/forward_simulation.cpp
@@ -387,8 +387,14 @@
         record_violation("a request was held past its deadline");
 }
 
-auto forward_simulation::announce_crash(const state::endpoint_id& /*endpoint*/,
-                                        state::content_fingerprint /*content*/) -> void
+auto forward_simulation::announce_crash(const forwarding::crash_notice& /*crash*/) -> void {}
+
+auto forward_simulation::announce_cleared_parts(const std::vector<forwarding::cleared_part>& /*cleared*/)
+    -> void
+{}
+
+auto forward_simulation::announce_blocked_parts(
+    const std::vector<coordination::suspicion::blocked_part>& /*blocked*/) -> void
 {}
 
 auto forward_simulation::announce_leaving(const forwarding::leaving_endpoint& /*leaving*/) -> void {}
--- a/tests/world/forward_simulation.hpp
+++ b/tests/world/forward_simulation.hpp
@@ -69,7 +69,9 @@
     auto release(state::request_handle request, state::attempt_handle attempt) -> void;
     auto finish(state::request_handle handle, state::attempt_handle attempt) -> void;
     auto refuse(state::request_handle handle, const coordination::routing::refusal& why) -> void;
-    auto announce_crash(const state::endpoint_id& endpoint, state::content_fingerprint content) -> void;
+    auto announce_crash(const coordination::forwarding::crash_notice& crash) -> void;
+    auto announce_cleared_parts(const std::vector<coordination::forwarding::cleared_part>& cleared) -> void;
+    auto announce_blocked_parts(const std::vector<coordination::suspicion::blocked_part>& blocked) -> void;
     auto announce_leaving(const coordination::forwarding::leaving_endpoint& leaving) -> void;
     auto log(const coordination::forwarding::forward_log& line) -> void;
 
