--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -55,6 +55,9 @@
 
     auto header(std::string_view name) const -> std::string;
 
+    /// Whether the body has neither a length nor chunks, so that it ends with its connection.
+    auto ends_with_connection() const -> bool { return !parser_->chunked() && !parser_->content_length(); }
+
     /// The status line and all response headers.
     auto head() const -> const parser::value_type::header_type& { return parser_->get().base(); }
 
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -125,6 +125,7 @@
     answer.prepare_payload();
     attempt.answer_ = std::move(answer);
     state.result_.outcome_ = forward_outcome::complete;
+    co_await check_end(state);
 }
 
 auto forward_runner::relay_stream(progress& state) -> http::awaitable<void>
@@ -149,6 +150,19 @@
     // A stream that ends within an event, or has none, is incomplete.
     const auto is_complete = state.splitter_.partial_event().empty() && state.call_.has_sent_headers_;
     state.result_.outcome_ = is_complete ? forward_outcome::complete : forward_outcome::broken;
+    co_await check_end(state);
+}
+
+auto forward_runner::check_end(progress& state) -> http::awaitable<void>
+{
+    if (state.result_.outcome_ != forward_outcome::complete ||
+        !state.attempt_.stream_->ends_with_connection())
+        co_return;
+    // The connections of a process that ends are closed like those of answers that are complete.
+    const auto is_reachable =
+        co_await client_.is_reachable(state.attempt_.command_.address_, reachability_timeout);
+    if (!is_reachable)
+        state.result_.outcome_ = forward_outcome::crashed;
 }
 
 auto forward_runner::relay_event(progress& state, protocol::event_stream::raw_event event) -> void
