forwarding: Bound the memory of answers without end

An endpoint that sent a chunk's size without end made an instance grow to 1.1 GB within 4 s, since what the parser could not use was buffered without a limit; bodies without end took up to 16 MB each. The platform kills the process at 110 MB, with all its callers' requests.

What the parser cannot use is now limited to 128 KiB a connection, and all incomplete answers of an instance to 16 MiB together. The one that exceeds that is malformed, which counts against its endpoint like any other malformed answer. Headers without end were bounded before (8 KiB).

--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -79,11 +79,15 @@
 private:
     friend class client;
 
+    static constexpr std::size_t max_buffered_bytes{131'072};
+
     client* owner_;
     state::network_address peer_;
     std::unique_ptr<beast::tcp_stream> connection_;
     std::unique_ptr<parser> parser_;
-    beast::flat_buffer buffer_;
+    /// Holds what the parser cannot use yet, such as a part of a chunk's size, which a peer may send without
+    /// end.
+    beast::flat_buffer buffer_{max_buffered_bytes};
 };
 
 /// Sends requests to endpoints, agents and the platform; keeps idle connections for reuse.
--- /dev/null
+++ b/services/front/answer_memory.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "state/error.hpp"
+
+#include <cstddef>
+
+namespace buckthorndale::services::front {
+
+/// Bounds the memory of all answers that are held until they are complete. Endpoints may send bytes without
+/// end, on many connections at once. Used on one thread.
+class answer_memory {
+public:
+    /// `limit` is in bytes.
+    explicit answer_memory(std::size_t limit) : limit_{limit} {}
+
+    /// The memory of one answer.
+    class share {
+    public:
+        explicit share(answer_memory& memory) : memory_{memory} {}
+
+        ~share() { memory_.used_ -= size_; }
+
+        share(const share&) = delete;
+        auto operator=(const share&) -> share& = delete;
+
+        /// Throws error of kind too_large if all answers together exceed the limit.
+        auto resize(std::size_t size) -> void
+        {
+            memory_.used_ += size - size_;
+            size_ = size;
+            if (memory_.used_ > memory_.limit_)
+                throw state::error{state::error_kind::too_large,
+                                   "The incomplete answers of all endpoints are too large.",
+                                   "Let endpoints stream large answers."};
+        }
+
+    private:
+        answer_memory& memory_;
+        std::size_t size_{0};
+    };
+
+private:
+    std::size_t limit_;
+    std::size_t used_{0};
+};
+
+} // namespace buckthorndale::services::front
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -22,8 +22,6 @@
 constexpr auto connect_timeout = state::duration{std::chrono::milliseconds{250}};
 /// Time in which an endpoint must accept a new connection after one broke; otherwise it counts as crashed.
 constexpr auto reachability_timeout = state::duration{std::chrono::milliseconds{150}};
-/// Larger answers that are not streamed are rejected.
-constexpr auto max_answer_bytes = std::size_t{16'777'216};
 
 auto is_event_stream(const http::response_stream& stream) -> bool
 {
@@ -36,7 +34,10 @@
                          headers_callback on_headers)
     -> http::awaitable<coordination::forwarding::forward_attempt_result>
 {
-    auto state = progress{.call_ = *call, .attempt_ = *attempt, .on_headers_ = std::move(on_headers)};
+    auto state = progress{.call_ = *call,
+                          .attempt_ = *attempt,
+                          .on_headers_ = std::move(on_headers),
+                          .buffered_ = answer_memory::share{memory_}};
     state.result_.attempt_ = attempt->command_.attempt_;
     auto fault = std::optional<http::client_fault>{};
     try {
@@ -121,7 +122,13 @@
     auto& attempt = state.attempt_;
     const auto remaining = std::max(attempt.command_.deadline_ - clock_.now(), state::duration{1});
     auto answer = platform::caller_response_headers(*attempt.stream_);
-    answer.body() = co_await attempt.stream_->read_all(remaining, max_answer_bytes);
+    while (true) {
+        const auto bytes = co_await attempt.stream_->read_some(remaining);
+        if (bytes.empty())
+            break;
+        answer.body().append(bytes);
+        state.buffered_.resize(answer.body().size());
+    }
     answer.prepare_payload();
     attempt.answer_ = std::move(answer);
     state.result_.outcome_ = forward_outcome::complete;
@@ -144,6 +151,7 @@
             break;
         for (auto& event : state.splitter_.feed(bytes))
             relay_event(state, std::move(event));
+        state.buffered_.resize(state.splitter_.partial_event().size());
         co_await state.call_.output_.wait_for_room();
     }
     state.result_.stream_time_ = clock_.now() - state.headers_received_at_;
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -2,12 +2,14 @@
 
 #include "coordination/forwarding/forward_attempt_result.hpp"
 #include "coordination/forwarding/forward_engine.hpp"
+#include "front/answer_memory.hpp"
 #include "front/forwarded_call.hpp"
 #include "platform/endpoint_codec.hpp"
 #include "protocol/event_stream/raw_splitter.hpp"
 #include "transport/http/client.hpp"
 #include "transport/process/clock.hpp"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -34,6 +36,7 @@
         headers_callback on_headers_;
         coordination::forwarding::forward_attempt_result result_;
         protocol::event_stream::raw_splitter splitter_;
+        answer_memory::share buffered_;
         state::time_point headers_received_at_;
     };
 
@@ -48,8 +51,12 @@
     auto classify_fault(progress& state, transport::http::client_fault fault)
         -> transport::http::awaitable<void>;
 
+    /// In bytes; leaves most of an instance's memory to its other work.
+    static constexpr std::size_t max_buffered_bytes{16'777'216};
+
     transport::process::system_clock clock_;
     transport::http::client& client_;
+    answer_memory memory_{max_buffered_bytes};
 };
 
 } // namespace buckthorndale::services::front
