front: Keep endpoints whose entries are missing only after an outage of the store

An instance that had not been able to confirm its list in time, though the store was up, treated that as an outage of the store and kept endpoints whose entries had been removed for 2.2 s, as if these had lapsed. That has been so for every loss; with the bound on the age of objects such losses are common on slow instances in a storm of changes.

Only a store that does not answer, or that was restored, counts as an outage now: not a check that finds a change, not an expired confirmation, not a watch that the instance ended itself, and not a pause of its own process.

--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -116,6 +116,9 @@
     auto publish_confirmation(const followed_kind& kind) -> void;
     auto mark_regained(followed_kind& kind) -> void;
     auto mark_lost(followed_kind& kind, const std::string& reason) -> void;
+    /// Records, after mark_lost(), that the store does not answer, so that entries may lapse there. Otherwise
+    /// they are missing because their endpoints have gone.
+    auto mark_store_away(const followed_kind& kind) -> void;
     auto apply_configuration() -> void;
     auto apply_endpoints() -> void;
     auto publish_endpoints() -> void;
--- a/services/front/control_worker_currency.cpp
+++ b/services/front/control_worker_currency.cpp
@@ -55,11 +55,16 @@
     const auto lost_before = kind.lost_since_;
     auto changes = platform::object_changes{};
     auto reason = std::string{};
+    auto is_store_away = false;
     try {
         changes = co_await store_.changes_since(kind.mirror_.kind(), kind.currency_.checked(),
                                                 kind.currency_.limits().check_timeout());
     } catch (const store_error& fault) {
         reason = fault.what();
+        // After a pause of this process the answer may be there, unread.
+        const auto was_paused =
+            clock_.boot_now() - asked_at > kind.currency_.limits().check_timeout() + max_pause;
+        is_store_away = fault.fault() != store_fault::history_gone && !was_paused;
     }
     // Meanwhile the objects may have been lost for another reason, and read anew.
     if (kind.is_lost_ || kind.lost_since_ != lost_before)
@@ -72,6 +77,8 @@
         co_return;
     if (!reason.empty()) {
         read_again(kind, reason);
+        if (is_store_away)
+            mark_store_away(kind);
         co_return;
     }
     record_confirmation(kind, asked_at, changes.position_);
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -80,6 +80,7 @@
         if (position.revision_ == 0 || position.era_ == era)
             continue;
         mark_lost(*kind, "the store was restored from a copy");
+        mark_store_away(*kind);
         kind->watch_end_->emit(http::asio::cancellation_type::terminal);
     }
     if (!is_restored)
@@ -107,8 +108,10 @@
             co_await follow_store_until_fault(kind);
         } catch (const store_error& caught) {
             has_failed = true;
-            if (caught.fault() != store_fault::history_gone)
+            if (caught.fault() != store_fault::history_gone) {
                 mark_lost(kind, caught.what());
+                mark_store_away(kind);
+            }
         }
         if (has_failed)
             co_await sleep(pacing.pause(clock_.now(), draw()));
@@ -169,8 +172,10 @@
         co_await store_.list(platform::kind::instances, platform::read_consistency::may_be_stale);
         is_reachable = true;
     } catch (const store_error& fault) {
-        for (auto* kind : kinds())
+        for (auto* kind : kinds()) {
             mark_lost(*kind, fault.what());
+            mark_store_away(*kind);
+        }
     }
     // The answer may be the first that states a newer era; then the watchers are about to read the store too.
     if (is_reachable && !fallback_.may_ask_store(clock_.now()))
@@ -217,6 +222,11 @@
     } catch (const boost::system::system_error& fault) {
         // The watch was ended between two of its operations.
         throw store_error{store_fault::history_gone, fault.what()};
+    } catch (const store_error& fault) {
+        // The watch was ended within one, which says nothing about the store.
+        if (kind.is_lost_)
+            throw store_error{store_fault::history_gone, fault.what()};
+        throw;
     }
 }
 
@@ -242,13 +252,17 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(kind.currency_.age(clock_.boot_now()));
     log_.warn("store lost kind=" + kind.mirror_.kind() + " " + text_of(kind.mirror_.position()) +
               " confirmed_ms_ago=" + std::to_string(age.count()) + " reason=\"" + reason + "\"");
-    if (&kind == &endpoints_)
-        directory_.mark_store_unavailable();
     if (&kind == &configuration_)
         post_to_decision(freshness_changed{false});
     updates_.notify_all();
 }
 
+auto control_worker::mark_store_away(const followed_kind& kind) -> void
+{
+    if (&kind == &endpoints_)
+        directory_.mark_store_unavailable();
+}
+
 auto control_worker::apply_changes(followed_kind& kind) -> void
 {
     kind.on_change_();
