--- a/libraries/coordination/forwarding/crash_notice.hpp
+++ b/libraries/coordination/forwarding/crash_notice.hpp
@@ -17,10 +17,4 @@
     state::duration sent_ago_{0};
 };
 
-/// A part of a prompt on which an answer began after the last crash.
-struct cleared_part {
-    state::prompt_part_key part_;
-    state::duration began_ago_{0};
-};
-
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine_crashes.hpp
+++ b/libraries/coordination/forwarding/forward_engine_crashes.hpp
@@ -61,10 +61,10 @@
     if (!cleared_parts_.empty())
         port_.announce_cleared_parts(std::exchange(cleared_parts_, {}));
     const auto now = clock_.now();
-    const auto guilty = part_suspects_.judge(now);
-    if (guilty.empty())
+    const auto blocked = part_suspects_.judge(now);
+    if (blocked.empty())
         return;
-    for (const auto part : guilty) {
+    for (const auto part : blocked) {
         part_suspects_.postpone_trial(part, now, draw());
         port_.log(forward_log{.action_ = "block_part",
                               .reason_ = "endpoints crash when they begin to answer prompts with part " +
--- a/libraries/coordination/forwarding/forward_port.hpp
+++ b/libraries/coordination/forwarding/forward_port.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "coordination/forwarding/cleared_part.hpp"
 #include "coordination/forwarding/crash_notice.hpp"
 #include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/forward_command.hpp"
 #include "coordination/forwarding/forward_log.hpp"
 #include "coordination/routing/refusal.hpp"
-#include "coordination/suspicion/part_suspects.hpp"
+#include "coordination/suspicion/blocked_part.hpp"
 #include "state/identifiers.hpp"
 
 #include <vector>
--- a/libraries/coordination/membership/currency.hpp
+++ b/libraries/coordination/membership/currency.hpp
@@ -1,40 +1,17 @@
 #pragma once
 
+#include "coordination/membership/confirmation.hpp"
+#include "coordination/membership/confirmation_effect.hpp"
+#include "coordination/membership/copy_state.hpp"
 #include "coordination/membership/currency_limits.hpp"
 #include "state/store_position.hpp"
 #include "state/units.hpp"
 
 #include <algorithm>
-#include <cstdint>
 #include <optional>
 
 namespace buckthorndale::coordination::membership {
 
-/// An instance's statement that its objects of one kind were current.
-struct confirmation {
-    /// The position up to which the store has no other change of this kind.
-    state::store_position position_;
-    /// Identifies the state of all objects of the kind.
-    std::uint64_t fingerprint_{0};
-    /// Time since the read was sent that showed it.
-    state::duration age_{0};
-};
-
-/// The copy of one kind of objects that a confirmation is compared with.
-struct copy_state {
-    state::store_position position_;
-    std::uint64_t fingerprint_{0};
-};
-
-enum class confirmation_effect : std::uint8_t {
-    /// The copy is current too.
-    confirmed,
-    /// The copy may lack a change.
-    behind,
-    /// The confirmation says nothing about the copy.
-    none,
-};
-
 /// Bounds how long a copy of the store's objects may be taken for current. A subscription that is open and
 /// silent proves nothing, so the copy is current only for a time after a read that showed it to be. Instances
 /// share the results of their reads: whoever is first to read spares the others theirs, and the number of
--- a/libraries/coordination/suspicion/part_suspects.cpp
+++ b/libraries/coordination/suspicion/part_suspects.cpp
@@ -60,7 +60,7 @@
     for (const auto part : parts) {
         remember(answered_, part, began_at);
         const auto found = suspects_.find(part);
-        if (found == suspects_.end() || !acquit(found->second, began_at))
+        if (found == suspects_.end() || !drop_refuted_crashes(found->second, began_at))
             continue;
         if (found->second.crashes_.empty())
             suspects_.erase(found);
@@ -70,7 +70,7 @@
     return cleared;
 }
 
-auto part_suspects::acquit(suspect& item, state::time_point began_at) const -> bool
+auto part_suspects::drop_refuted_crashes(suspect& item, state::time_point began_at) const -> bool
 {
     const auto is_refuted = [&](crash_number number) {
         const auto found = std::ranges::find(crashes_, number, &crash::number_);
@@ -174,7 +174,7 @@
     return false;
 }
 
-auto part_suspects::find_guilty(state::time_point now) const -> std::optional<state::prompt_part_key>
+auto part_suspects::find_cause(state::time_point now) const -> std::optional<state::prompt_part_key>
 {
     auto best = std::optional<state::prompt_part_key>{};
     auto best_crashes = std::set<crash_number>{};
@@ -197,11 +197,11 @@
 auto part_suspects::judge(state::time_point now) -> part_keys
 {
     auto found = part_keys{};
-    while (const auto guilty = find_guilty(now)) {
-        auto& item = suspects_.at(*guilty);
+    while (const auto cause = find_cause(now)) {
+        auto& item = suspects_.at(*cause);
         item.is_blocked_ = true;
         item.trial_at_ = now + item.trial_interval_;
-        found.push_back(*guilty);
+        found.push_back(*cause);
     }
     return found;
 }
--- a/libraries/coordination/suspicion/part_suspects.hpp
+++ b/libraries/coordination/suspicion/part_suspects.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/suspicion/blocked_part.hpp"
+#include "coordination/suspicion/crashed_attempt.hpp"
 #include "state/identifiers.hpp"
 #include "state/units.hpp"
 
@@ -13,31 +15,13 @@
 
 namespace buckthorndale::coordination::suspicion {
 
-/// An attempt that an endpoint's crash ended before its answer had begun, or just after.
-struct crashed_attempt {
-    state::endpoint_id endpoint_;
-    /// The parts of its prompt that other requests may share.
-    std::vector<state::prompt_part_key> parts_;
-    /// When the attempt was sent.
-    state::time_point sent_at_;
-};
-
-/// A part that is not let through, as instances tell each other.
-struct blocked_part {
-    state::prompt_part_key part_;
-    /// Time since the last crash that it was blamed for.
-    state::duration crashed_ago_{0};
-    /// Time until a single request with it may be tried.
-    state::duration trial_in_{0};
-};
-
 /// Finds the parts of prompts that crash endpoints, from crashes and answers that all instances report.
 ///
 /// An endpoint crashes with many requests in progress, and the first parts of a prompt are shared by most
-/// callers of a route, so presence at a crash proves little. Three things tell a guilty part from its
-/// neighbours: no answer on it begins and goes on; it is present at one crash after the other, among requests
-/// that were sent after the one before, while endpoints that fail for another reason do so at the same time;
-/// and it explains the crashes at which the others were present.
+/// callers of a route, so presence at a crash proves little. Three things tell the part that causes
+/// the crashes from the others: no answer on it begins and goes on; it is present at one crash after the
+/// other, among requests that were sent after the one before, while endpoints that fail for another reason do
+/// so at the same time; and it explains the crashes at which the others were present.
 class part_suspects {
 public:
     using part_keys = std::vector<state::prompt_part_key>;
@@ -60,7 +44,7 @@
     /// Time until the next trial of a request with these parts.
     auto time_to_trial(const part_keys& parts, state::time_point now) const -> state::duration;
 
-    /// Blocks the parts that the evidence condemns; returns them. To be called often.
+    /// Blocks the parts for which the evidence suffices; returns them. To be called often.
     auto judge(state::time_point now) -> part_keys;
 
     /// Sets the time of the next trial of a blocked part; `draw` from 0 to 1 spreads those of different
@@ -107,7 +91,7 @@
     /// Several attempts, at several instances, report the same crash.
     auto find_or_add_crash(const state::endpoint_id& endpoint, state::time_point now) -> crash_number;
     /// Drops the crashes before an answer that began at a time. Returns whether there were any.
-    auto acquit(suspect& item, state::time_point began_at) const -> bool;
+    auto drop_refuted_crashes(suspect& item, state::time_point began_at) const -> bool;
     /// The crashes that no blocked part explains.
     auto unexplained(const suspect& item) const -> std::set<crash_number>;
     /// Whether the part was present at enough crashes in sequence, and had time to be cleared since.
@@ -115,7 +99,7 @@
     /// How much a crash counts: endpoints that fail together fail for a reason of their own.
     auto weight_of(crash_number number) const -> double;
     /// The part that explains most crashes, if the evidence suffices.
-    auto find_guilty(state::time_point now) const -> std::optional<state::prompt_part_key>;
+    auto find_cause(state::time_point now) const -> std::optional<state::prompt_part_key>;
     static auto postpone(suspect& item, state::time_point now, double draw) -> void;
     auto drop_oldest() -> void;
 
@@ -136,7 +120,8 @@
     static constexpr std::size_t max_suspects{4096};
     /// An endpoint takes seconds to restart, and instances report a crash within a fraction of a second.
     static constexpr state::duration same_crash_time{std::chrono::milliseconds{1500}};
-    /// Requests that a crash ended are sent again at once, so an innocent part is cleared by then.
+    /// Requests that a crash ended are sent again at once, so a part that causes no crashes is cleared by
+    /// then.
     static constexpr state::duration settling_time{std::chrono::milliseconds{600}};
     static constexpr state::duration first_trial_interval{std::chrono::seconds{15}};
     static constexpr state::duration max_trial_interval{std::chrono::minutes{10}};
--- a/libraries/protocol/peer/peer_message.hpp
+++ b/libraries/protocol/peer/peer_message.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "coordination/forwarding/cleared_part.hpp"
 #include "coordination/forwarding/crash_notice.hpp"
 #include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
-#include "coordination/membership/currency.hpp"
-#include "coordination/suspicion/part_suspects.hpp"
+#include "coordination/membership/confirmation.hpp"
+#include "coordination/suspicion/blocked_part.hpp"
 #include "state/identifiers.hpp"
 
 #include <optional>
