forwarding: Log the limits that endpoints state in their responses

The headers of every response are now decoded, with the declines that a brittle endpoint bears, and each change is logged with the endpoint and its new value. A value that is no number, not positive or above a million a second is logged and tells nothing; so does a response without a signature that lacks the header.

What an endpoint states now reaches the decision worker with every response, in the one event that a success had before. The notice in a 421 is no longer taken, as another endpoint wrote it. No decision changes.

Test: platform/a_limit_that_cannot_be_read_tells_nothing is new. The check of responses without a notice compares all of its fields now that some are set for every response.

--- a/libraries/coordination/forwarding/endpoint_notice.hpp
+++ b/libraries/coordination/forwarding/endpoint_notice.hpp
@@ -4,6 +4,8 @@
 #include "state/units.hpp"
 
 #include <cstdint>
+#include <optional>
+#include <string>
 
 namespace buckthorndale::coordination::forwarding {
 
@@ -13,10 +15,18 @@
     bool is_leaving_{false};
     /// How long the endpoint wants no more requests from this instance; zero if it asks for no pause.
     state::duration pause_{0};
+    /// The requests a second that the endpoint takes from all instances together; 0 if it names no limit, and
+    /// unset if the response does not tell.
+    std::optional<double> limit_;
+    /// How many requests a second the endpoint can turn away before it fails; 0 if it does not say so, and
+    /// unset if the response does not tell.
+    std::optional<double> max_declines_;
+    /// The first header value that could not be read; empty if there was none.
+    std::string invalid_value_;
 
     auto asks_for_pause() const -> bool { return pause_ > state::duration::zero(); }
 
-    auto is_empty() const -> bool { return !is_leaving_ && !asks_for_pause(); }
+    auto operator==(const endpoint_notice&) const -> bool = default;
 };
 
 /// An endpoint that announced its shutdown, with the registration that it had then.
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -249,6 +249,8 @@
     auto pick_service(const entry& item) -> state::service_name;
     auto dispatch(entry& item, const pool_choice& choice, const std::string& reason) -> void;
     auto apply_notice(const state::endpoint_id& endpoint, const endpoint_notice& notice) -> void;
+    /// Logs what an endpoint states of its limit, when that changes.
+    auto log_stated_rates(const state::endpoint_id& endpoint, const endpoint_notice& notice) -> void;
     /// Records the request as a suspect if its answer had not begun, or only just, when the endpoint crashed.
     auto record_crash(const entry& item, const running_attempt& attempt) -> void;
     /// When the attempt's answer began, if it has gone on for a while since.
@@ -306,6 +308,13 @@
     first_byte_latency first_byte_latency_;
     first_byte_forecast forecast_;
     work_exchange work_;
+
+    struct stated_rates {
+        double limit_{0};
+        double max_declines_{0};
+    };
+
+    std::map<state::endpoint_id, stated_rates> stated_rates_;
     std::map<state::service_name, admission::latency_window> windows_;
     suspicion::crash_suspects suspects_;
     suspicion::part_suspects part_suspects_;
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -85,15 +85,16 @@
     auto& result = state.result_;
     const auto& command = state.attempt_.command_;
     result.has_asked_for_pause_ = headers.notice_.asks_for_pause();
-    if (!headers.notice_.is_empty())
-        state.on_headers_({.attempt_ = command.attempt_,
-                           .endpoint_ = command.endpoint_,
-                           .notice_ = headers.notice_,
-                           .is_success_ = false});
+    // What another endpoint at this address states does not concern the one that was asked.
     if (headers.is_wrong_endpoint_) {
         result.outcome_ = forward_outcome::wrong_endpoint;
         co_return false;
     }
+    state.on_headers_({.attempt_ = command.attempt_,
+                       .confidence_ = headers.confidence_,
+                       .endpoint_ = command.endpoint_,
+                       .notice_ = headers.notice_,
+                       .is_success_ = headers.is_success_ && headers.is_genuine_ && !headers.has_not_run_});
     if (headers.has_not_run_) {
         result.outcome_ = forward_outcome::declined;
         co_return false;
@@ -108,7 +109,6 @@
         co_return false;
     }
     auto& attempt = state.attempt_;
-    state.on_headers_({.attempt_ = attempt.command_.attempt_, .confidence_ = headers.confidence_});
     while (attempt.command_.is_held_ && !attempt.is_released_ && !attempt.is_cancelled_) {
         auto ignored = boost::system::error_code{};
         co_await attempt.release_timer_.async_wait(
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -202,11 +202,12 @@
 
 BOOST_AUTO_TEST_CASE(the_shutdown_that_an_endpoint_announces_is_read_from_every_answer)
 {
+    const auto nothing = coordination::forwarding::endpoint_notice{.limit_ = 0.0, .max_declines_ = 0.0};
     for (const auto status : {200U, 421U, 429U, 500U, 503U}) {
         auto response = http::make_response(status, "text/event-stream", "");
-        BOOST_TEST(platform::read_notice(response).is_empty());
+        BOOST_TEST((platform::read_notice(response) == nothing));
         response.set("Server-Leaving", "0");
-        BOOST_TEST(platform::read_notice(response).is_empty());
+        BOOST_TEST((platform::read_notice(response) == nothing));
         response.set("Server-Leaving", "1");
         BOOST_TEST(platform::read_notice(response).is_leaving_);
     }
@@ -228,6 +229,21 @@
     BOOST_TEST((pause(200, "2") == 0s));
 }
 
+BOOST_AUTO_TEST_CASE(a_limit_that_cannot_be_read_tells_nothing)
+{
+    const auto notice = [](const std::string& text) {
+        auto response = http::make_response(200, "text/plain", "");
+        response.set("Server-Limit", text);
+        return platform::read_notice(response);
+    };
+    BOOST_TEST(notice("0.5").limit_.value() == 0.5);
+    BOOST_TEST(notice("1000").limit_.value() == 1000.0);
+    for (const auto* const text : {"0", "-1", "nan", "inf", "1e300", "2 a second", "1,5"}) {
+        BOOST_TEST(!notice(text).limit_.has_value());
+        BOOST_TEST(notice(text).invalid_value_ == text);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(only_what_has_not_run_is_refused_as_not_run)
 {
     using coordination::routing::refusal;
