forwarding: Share the declines of brittle endpoints among all instances

Endpoints that fail once they turn away more than a few requests in a second failed one after the other: up to 20 falls of four endpoints in 17 s, as each fall sent its load to the others. Each instance learned only of its own declines, after which it shrank a window for the service that knows nothing of the endpoint's room.

Instances now tell each other of every decline of such an endpoint. Each lowers its own rate to it by the same factor, which lowers the sum by that factor, and lets it rise slowly; the others of the service keep their rates, so that they do not get what one declines. Once half of what an endpoint bears has been declined, it gets nothing until a second later. An instance keeps no more than twice its share of the slots in flight there. An endpoint that starts while others of its service are brittle begins like these.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -30,6 +30,8 @@
 /// An endpoint whose time to first byte exceeds the mean by this fraction of the objective ranks behind the
 /// others.
 constexpr auto objective_ratio_margin = 0.4;
+/// Requests that are in flight end at any time.
+constexpr auto room_wait = state::duration{std::chrono::milliseconds{10}};
 /// Weight of a new sample in the moving average.
 constexpr auto sample_weight = 0.3;
 /// Time constant with which old samples decay, since the endpoint's queue changes.
@@ -109,8 +111,11 @@
 
 auto endpoint_pool::next_request_at(const entry& known, state::time_point now) const -> state::time_point
 {
-    return std::max(
-        {pauses_.next_request_at(known.endpoint_.id_, now), limits_.next_request_at(known.endpoint_, now)});
+    if (!brittle_.has_room(known.endpoint_, known.own_in_flight_))
+        return now + room_wait;
+    return std::max({pauses_.next_request_at(known.endpoint_.id_, now),
+                     limits_.next_request_at(known.endpoint_, now),
+                     brittle_.next_request_at(known.endpoint_, now)});
 }
 
 auto endpoint_pool::due_for_check(const std::vector<const entry*>& usable, const pool_query& query,
@@ -133,7 +138,8 @@
         if (!is_candidate(known, query))
             continue;
         const auto time =
-            std::max({pauses_.next_request_at(id, now), limits_.next_turn_at(known.endpoint_, now)});
+            std::max({pauses_.next_request_at(id, now), limits_.next_turn_at(known.endpoint_, now),
+                      brittle_.next_request_at(known.endpoint_, now)});
         earliest = std::min(earliest.value_or(time), time);
     }
     return earliest;
@@ -272,6 +278,7 @@
     auto& known = entries_.at(id);
     pauses_.record_sent(id, now);
     limits_.record_sent(known.endpoint_, now);
+    brittle_.record_sent(known.endpoint_, now);
     ++known.own_in_flight_;
     known.own_pending_ += work;
 }
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/brittle_endpoints.hpp"
 #include "coordination/forwarding/endpoint_limits.hpp"
 #include "coordination/forwarding/endpoint_pauses.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
@@ -67,7 +68,10 @@
     auto record_unmet(const pool_query& query, state::time_point now) -> void;
 
     /// Whether some endpoint has stated how much it takes, or that it takes nothing for a while.
-    auto has_stated_limits() const -> bool { return !pauses_.is_empty() || !limits_.is_empty(); }
+    auto has_stated_limits() const -> bool
+    {
+        return !pauses_.is_empty() || !limits_.is_empty() || !brittle_.is_empty();
+    }
 
     auto find(const state::endpoint_id& id) const -> const state::registered_endpoint*;
 
@@ -124,6 +128,7 @@
     auto set_instances(const state::instance_id& own, std::vector<state::instance_id> all,
                        state::time_point now) -> void
     {
+        brittle_.set_instance_count(all.size());
         limits_.set_instances(own, std::move(all), now);
     }
 
@@ -132,11 +137,15 @@
 
     auto limits() const -> const endpoint_limits& { return limits_; }
 
+    /// The endpoints that fail when they have to turn away requests.
+    auto brittle() -> brittle_endpoints& { return brittle_; }
+
     auto forget_old(state::time_point now) -> void
     {
         leaving_.forget_old(now);
         pauses_.forget_old(now);
         limits_.forget_old(now);
+        brittle_.forget_old(now);
     }
 
     /// Whether the endpoint is left out for a while after failures or because it was full.
@@ -187,6 +196,7 @@
     leaving_endpoints leaving_;
     endpoint_pauses pauses_;
     endpoint_limits limits_;
+    brittle_endpoints brittle_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -70,6 +70,8 @@
     auto update_endpoints(const std::vector<state::registered_endpoint>& endpoints) -> void
     {
         pool_.update(endpoints);
+        for (const auto& endpoint : endpoints)
+            pool_.brittle().record_listed(endpoint, clock_.now(), draw());
         roll_outs_.record_fleet_sizes(endpoints);
         has_endpoints_ = true;
     }
@@ -268,6 +270,7 @@
     auto apply_stated_rates(const state::registered_endpoint& endpoint, const endpoint_notice& notice)
         -> void;
     auto log_limit(const limit_news& news, const std::string& source) -> void;
+    auto announce_decline(const running_attempt& attempt) -> void;
     /// Records the request as a suspect if its answer had not begun, or only just, when the endpoint crashed.
     auto record_crash(const entry& item, const running_attempt& attempt) -> void;
     /// When the attempt's answer began, if it has gone on for a while since.
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -324,6 +324,7 @@
         return;
     case forward_outcome::declined:
         pool_.mark_full(attempt.endpoint_, now);
+        announce_decline(attempt);
         windows_[attempt.service_].record_declined(now);
         return;
     case forward_outcome::not_sent:
--- a/libraries/coordination/forwarding/forward_engine_limits.hpp
+++ b/libraries/coordination/forwarding/forward_engine_limits.hpp
@@ -19,6 +19,8 @@
                               .endpoint_ = endpoint.id_,
                               .reason_ = "the endpoint states '" + notice.invalid_value_ + "'",
                               .generation_ = table_->generation_});
+    if (notice.max_declines_)
+        pool_.brittle().record_answer(endpoint, *notice.max_declines_, now);
     if (!notice.limit_)
         return;
     const auto news = pool_.limits().record_answer(endpoint, *notice.limit_, now);
@@ -38,6 +40,16 @@
                           .generation_ = table_->generation_});
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::announce_decline(const running_attempt& attempt) -> void
+{
+    const auto* endpoint = pool_.find(attempt.endpoint_);
+    if (endpoint == nullptr)
+        return;
+    if (const auto news = pool_.brittle().record_decline(*endpoint, clock_.now(), draw()))
+        port_.announce_limits({.declines_ = {*news}});
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::receive_limits(const state::instance_id& from,
                                                          const limit_message& message) -> void
@@ -60,6 +72,11 @@
     }
     for (const auto& permits : message.permits_)
         pool_.limits().receive(permits, now);
+    for (const auto& news : message.declines_) {
+        const auto* endpoint = pool_.find(news.endpoint_);
+        if (endpoint != nullptr && endpoint->incarnation_ == news.incarnation_)
+            pool_.brittle().record_news(*endpoint, news, now, draw());
+    }
     if (!reply.is_empty())
         port_.send_limits(from, reply);
 }
--- a/libraries/coordination/forwarding/limit_message.hpp
+++ b/libraries/coordination/forwarding/limit_message.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/decline_news.hpp"
 #include "coordination/forwarding/limit_news.hpp"
 #include "coordination/forwarding/permit_transfer.hpp"
 
@@ -13,8 +14,12 @@
     std::vector<permit_transfer> wanted_permits_;
     /// Permits that the sender no longer has and the recipient may use.
     std::vector<permit_transfer> permits_;
+    std::vector<decline_news> declines_;
 
-    auto is_empty() const -> bool { return limits_.empty() && wanted_permits_.empty() && permits_.empty(); }
+    auto is_empty() const -> bool
+    {
+        return limits_.empty() && wanted_permits_.empty() && permits_.empty() && declines_.empty();
+    }
 
     auto operator==(const limit_message&) const -> bool = default;
 };
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -212,6 +212,13 @@
         value["wanted_permits"] = permits_to_json(message.wanted_permits_);
     if (!message.permits_.empty())
         value["permits"] = permits_to_json(message.permits_);
+    for (const auto& item : message.declines_) {
+        auto decline = Json::Value{Json::objectValue};
+        decline["endpoint"] = item.endpoint_.text();
+        decline["incarnation"] = std::to_string(item.incarnation_);
+        decline["max_declines"] = item.max_declines_;
+        value["declines"].append(decline);
+    }
 }
 
 auto read_limits(json::object_reader& reader) -> forwarding::limit_message
@@ -225,6 +232,10 @@
                                    .began_ago_ = state::duration{item.integer("began_us", 0, max_value)}});
     message.wanted_permits_ = read_permits(reader, "wanted_permits");
     message.permits_ = read_permits(reader, "permits");
+    for (auto& item : reader.children("declines"))
+        message.declines_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
+                                     .incarnation_ = item.number("incarnation"),
+                                     .max_declines_ = read_rate(item, "max_declines")});
     return message;
 }
 
--- a/tests/coordination/stated_limits.cpp
+++ b/tests/coordination/stated_limits.cpp
@@ -169,6 +169,31 @@
     }
 }
 
+/// Guards against as many permits as there are instances when brittle endpoints or limits meet a large fleet.
+BOOST_AUTO_TEST_CASE(brittle_endpoints_of_large_fleets_do_not_fail_one_after_the_other)
+{
+    for (auto seed = std::uint64_t{1}; seed <= seed_count(3); ++seed) {
+        for (const auto instances : {std::size_t{8}, std::size_t{75}, std::size_t{360}}) {
+            const auto result = play({.seed_ = seed,
+                                      .instances_ = instances,
+                                      .endpoints_ = 12,
+                                      .duration_ = 17s,
+                                      .rate_ = 1000,
+                                      .limited_endpoints_ = 0,
+                                      .places_ = 6,
+                                      .queue_ = 3,
+                                      .work_ = 60ms,
+                                      .max_declines_ = 3,
+                                      .has_restarts_ = true},
+                                     std::to_string(instances) + " instances, brittle");
+            // Two and a tenth of the endpoints, by the users' rule.
+            BOOST_TEST(result.falls_ <= 3);
+            // The endpoints can answer 1,200 a second.
+            BOOST_TEST(share(result.answered_, result.sent_) >= 0.5);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_limit_ends_with_the_run_of_its_endpoint)
 {
     auto limits = limits_of(0, 8, start);
--- a/tests/world/stated_limit_fleet.hpp
+++ b/tests/world/stated_limit_fleet.hpp
@@ -121,6 +121,8 @@
     auto send_request() -> void;
     auto dispatch(std::size_t where, const coordination::forwarding::forward_command& command) -> void;
     auto accept(std::size_t number) -> void;
+    /// Whether endpoints are going to let fewer requests wait, and already say that they are brittle.
+    auto is_brittle_time_near() const -> bool;
     auto begin_work(std::size_t number) -> void;
     auto end_work(std::size_t number) -> void;
     auto begin_waiting(std::size_t endpoint) -> void;
