--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <numeric>
 #include <tuple>
+#include <utility>
 
 namespace buckthorndale::coordination::forwarding {
 
@@ -18,6 +19,19 @@
 constexpr auto min_ejection_time = state::duration{std::chrono::milliseconds{500}};
 constexpr auto max_ejection_time = state::duration{std::chrono::seconds{4}};
 constexpr auto unreachable_ejection_time = state::duration{std::chrono::milliseconds{700}};
+/// An endpoint that is back is found after this at the latest.
+constexpr auto max_unreachable_time = state::duration{std::chrono::seconds{2}};
+/// How many endpoints of a service must be lost, if it has as many, before the own links are suspected. One
+/// endpoint may fail alone.
+constexpr auto min_lost = std::size_t{2};
+constexpr auto max_lost = std::size_t{3};
+/// Connections that are tried at a time.
+constexpr auto max_probes = std::size_t{3};
+/// After the loss of one endpoint, so many others of its service are tried, if they were not just reached.
+constexpr auto max_sibling_probes = std::size_t{6};
+constexpr auto sibling_probe_interval = state::duration{std::chrono::milliseconds{20}};
+/// Endpoints that are lost together are found to be so within this time.
+constexpr auto common_loss_time = state::duration{std::chrono::milliseconds{80}};
 constexpr auto full_ejection_time = state::duration{std::chrono::milliseconds{100}};
 
 /// The number of endpoints that requests with one affinity key may be spread over. Two choices already
@@ -51,6 +65,7 @@
             known.has_wrong_address_ = false;
             known.consecutive_failures_ = 0;
             known.ejected_until_ = {};
+            known.is_unreachable_ = false;
         }
         known.endpoint_ = endpoint;
         known.is_listed_ = true;
@@ -86,7 +101,12 @@
 auto endpoint_pool::is_ejected(const state::endpoint_id& id, state::time_point now) const -> bool
 {
     const auto found = entries_.find(id);
-    return found != entries_.end() && found->second.ejected_until_ > now;
+    return found != entries_.end() && is_ejected(found->second, now);
+}
+
+auto endpoint_pool::is_ejected(const entry& known, state::time_point now) -> bool
+{
+    return known.is_unreachable_ || known.ejected_until_ > now;
 }
 
 auto endpoint_pool::choose(const pool_query& query, state::time_point now, std::uint64_t random) const
@@ -124,7 +144,7 @@
     if (limits_.is_empty())
         return nullptr;
     const auto found = std::ranges::find_if(usable, [&](const entry* known) {
-        return !query.excluded_.contains(known->endpoint_.id_) && known->ejected_until_ <= now &&
+        return !query.excluded_.contains(known->endpoint_.id_) && !is_ejected(*known, now) &&
                limits_.is_due_for_check(known->endpoint_, now);
     });
     return found == usable.end() ? nullptr : *found;
@@ -194,11 +214,11 @@
     const auto rank = [&](const entry* known) {
         const auto& id = known->endpoint_.id_;
         const auto was_tried = query.excluded_.contains(id);
-        const auto is_ejected = known->ejected_until_ > now;
+        const auto is_left_out = is_ejected(*known, now);
         const auto is_far = known->endpoint_.data_centre_ != query.data_centre_;
         const auto is_slow = decayed_objective_ratio(*known, now) > bound;
         const auto load = known->own_in_flight_ + (is_far ? 1 : 0) + (is_slow ? 1 : 0);
-        return std::tuple{was_tried, is_ejected, load, state::stable_hash(id.text(), random)};
+        return std::tuple{was_tried, is_left_out, load, state::stable_hash(id.text(), random)};
     };
     return *std::ranges::min_element(usable, {}, rank);
 }
@@ -221,7 +241,7 @@
     ranked.reserve(usable.size());
     for (const auto* known : usable) {
         const auto& id = known->endpoint_.id_;
-        ranked.push_back({.penalties_ = {query.excluded_.contains(id), known->ejected_until_ > now,
+        ranked.push_back({.penalties_ = {query.excluded_.contains(id), is_ejected(*known, now),
                                          decayed_objective_ratio(*known, now) > bound},
                           .hash_ = state::stable_hash(id.text(), affinity),
                           .entry_ = known});
@@ -362,12 +382,127 @@
 
 auto endpoint_pool::mark_unreachable(const state::endpoint_id& id, state::time_point now) -> void
 {
-    if (auto* known = find_entry(id)) {
-        ++known->consecutive_failures_;
-        const auto ejection_time =
-            unreachable_ejection_time * (1 << std::min(known->consecutive_failures_ - 1, 4));
-        known->ejected_until_ = now + std::min(ejection_time, max_ejection_time);
+    auto* known = find_entry(id);
+    if (known == nullptr)
+        return;
+    ++known->consecutive_failures_;
+    const auto ejection_time =
+        unreachable_ejection_time * (1 << std::min(known->consecutive_failures_ - 1, 4));
+    known->ejected_until_ = now + std::min(ejection_time, max_unreachable_time);
+    known->checked_at_ = now;
+    const auto& service = known->endpoint_.service_;
+    lost_[service].insert(id);
+    if (std::exchange(known->is_unreachable_, true))
+        return;
+    known->lost_at_ = now;
+    sibling_probes_[service] = max_sibling_probes;
+}
+
+auto endpoint_pool::mark_reached(const state::endpoint_id& id, state::time_point now) -> void
+{
+    auto* known = find_entry(id);
+    if (known == nullptr)
+        return;
+    known->checked_at_ = now;
+    if (std::exchange(known->is_unreachable_, false)) {
+        known->consecutive_failures_ = 0;
+        known->ejected_until_ = {};
+    }
+    if (!is_cut_off(known->endpoint_.service_)) {
+        lost_.erase(known->endpoint_.service_);
+        return;
+    }
+    lost_.erase(known->endpoint_.service_);
+    // The links are back, so the other endpoints are tried at once.
+    for (auto& [other, item] : entries_) {
+        if (item.is_unreachable_ && item.endpoint_.service_ == known->endpoint_.service_)
+            item.ejected_until_ = now;
+    }
+}
+
+auto endpoint_pool::is_unreachable(const state::endpoint_id& id) const -> bool
+{
+    const auto found = entries_.find(id);
+    return found != entries_.end() && found->second.is_unreachable_;
+}
+
+auto endpoint_pool::check_soon(const state::endpoint_id& id) -> void
+{
+    if (auto* known = find_entry(id))
+        known->must_be_checked_ = true;
+}
+
+auto endpoint_pool::services() const -> std::set<state::service_name>
+{
+    auto services = std::set<state::service_name>{};
+    for (const auto& [id, known] : entries_)
+        services.insert(known.endpoint_.service_);
+    return services;
+}
+
+auto endpoint_pool::is_cut_off(const state::service_name& service) const -> bool
+{
+    const auto found = lost_.find(service);
+    if (found == lost_.end())
+        return false;
+    const auto is_listed = [&](const auto& item) {
+        return item.second.is_listed_ && item.second.endpoint_.service_ == service;
+    };
+    const auto listed = static_cast<std::size_t>(std::ranges::count_if(entries_, is_listed));
+    return found->second.size() >= std::clamp(listed, min_lost, max_lost);
+}
+
+auto endpoint_pool::lost_beside(const state::endpoint_id& id, state::time_point failed_at) const
+    -> std::ptrdiff_t
+{
+    return std::ranges::count_if(entries_, [&](const auto& item) {
+        const auto& known = item.second;
+        return item.first != id && known.is_unreachable_ &&
+               std::chrono::abs(known.lost_at_ - failed_at) <= common_loss_time;
+    });
+}
+
+auto endpoint_pool::take_probes(state::time_point now, std::uint64_t random)
+    -> std::vector<state::endpoint_id>
+{
+    auto probes = std::vector<state::endpoint_id>{};
+    auto siblings = std::vector<entry*>{};
+    for (auto& [id, known] : entries_) {
+        if (!known.is_listed_ || probes.size() >= max_probes)
+            continue;
+        if (known.is_unreachable_) {
+            if (known.ejected_until_ > now)
+                continue;
+            probes.push_back(id);
+            known.checked_at_ = now;
+            known.ejected_until_ = now + unreachable_ejection_time;
+            continue;
+        }
+        if (std::exchange(known.must_be_checked_, false)) {
+            probes.push_back(id);
+            known.checked_at_ = now;
+            continue;
+        }
+        if (sibling_probes_.contains(known.endpoint_.service_) &&
+            now - known.checked_at_ > sibling_probe_interval)
+            siblings.push_back(&known);
+    }
+    std::ranges::sort(siblings, {}, [random](const entry* known) {
+        return state::stable_hash(known->endpoint_.id_.text(), random);
+    });
+    for (auto* known : siblings) {
+        auto& left = sibling_probes_[known->endpoint_.service_];
+        if (probes.size() >= max_probes)
+            return probes;
+        if (left == 0)
+            continue;
+        --left;
+        known->checked_at_ = now;
+        probes.push_back(known->endpoint_.id_);
     }
+    // Those that are left have been reached a moment ago.
+    sibling_probes_.clear();
+    return probes;
 }
 
 auto endpoint_pool::mark_full(const state::endpoint_id& id, state::time_point now) -> void
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -102,9 +102,35 @@
     /// Records a failure. Consecutive failures eject the endpoint, for longer each time.
     auto mark_failed(const state::endpoint_id& id, state::time_point now) -> void;
 
-    /// Records that the endpoint cannot be reached, and ejects it at once.
+    /// Records that the endpoint cannot be reached. It gets no requests until a connection was opened, unless
+    /// there is no other.
     auto mark_unreachable(const state::endpoint_id& id, state::time_point now) -> void;
 
+    /// Records that the endpoint was reached: it answered, or accepted a connection.
+    auto mark_reached(const state::endpoint_id& id, state::time_point now) -> void;
+
+    auto is_unreachable(const state::endpoint_id& id) const -> bool;
+
+    /// Lets take_probes() return the endpoint next time.
+    auto check_soon(const state::endpoint_id& id) -> void;
+
+    /// The services of all endpoints.
+    auto services() const -> std::set<state::service_name>;
+
+    /// Whether this instance seems to have lost its links to the service's endpoints, rather than one of them
+    /// to have failed: several became unreachable and none has been reached since.
+    auto is_cut_off(const state::service_name& service) const -> bool;
+
+    /// How many other endpoints became unreachable at about the time at which this one failed.
+    auto lost_beside(const state::endpoint_id& id, state::time_point failed_at) const -> std::ptrdiff_t;
+
+    /// Whether endpoints became unreachable and no other one of their service has been reached since.
+    auto has_lost_endpoints() const -> bool { return !lost_.empty(); }
+
+    /// The endpoints to which a connection should be tried now: those that were unreachable for a while, and
+    /// some others of a service of which one was lost a moment ago. Records them as tried.
+    auto take_probes(state::time_point now, std::uint64_t random) -> std::vector<state::endpoint_id>;
+
     /// Records that the endpoint refused a request because it was full, and ejects it briefly.
     auto mark_full(const state::endpoint_id& id, state::time_point now) -> void;
 
@@ -163,6 +189,11 @@
         state::duration remote_pending_{0};
         std::int32_t consecutive_failures_{0};
         state::time_point ejected_until_{};
+        bool is_unreachable_{false};
+        state::time_point lost_at_{};
+        /// When the endpoint was last reached, or a connection to it tried.
+        state::time_point checked_at_{};
+        bool must_be_checked_{false};
         /// Moving average of the time to first byte as of `last_sample_at_`, as a fraction of the latency
         /// objective.
         double objective_ratio_{0};
@@ -189,10 +220,16 @@
     auto due_for_check(const std::vector<const entry*>& usable, const pool_query& query,
                        state::time_point now) const -> const entry*;
     auto candidates(const pool_query& query) const -> std::vector<const entry*>;
+    /// Whether the endpoint is left out for now.
+    static auto is_ejected(const entry& known, state::time_point now) -> bool;
     auto drop_unused() -> void;
     auto find_entry(const state::endpoint_id& id) -> entry*;
 
     std::map<state::endpoint_id, entry> entries_;
+    /// The endpoints of a service that became unreachable since one of them was last reached.
+    std::map<state::service_name, std::set<state::endpoint_id>> lost_;
+    /// How many endpoints of a service are still to be tried after the loss of another one.
+    std::map<state::service_name, std::size_t> sibling_probes_;
     leaving_endpoints leaving_;
     endpoint_pauses pauses_;
     endpoint_limits limits_;
--- a/libraries/coordination/forwarding/forward_command.hpp
+++ b/libraries/coordination/forwarding/forward_command.hpp
@@ -6,6 +6,7 @@
 #include "state/units.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace buckthorndale::coordination::forwarding {
@@ -34,6 +35,9 @@
     std::string resume_after_;
     /// Whether the response body is held back until the engine releases it.
     bool is_held_{false};
+    /// Whether the request goes to another instance, which may make this many attempts, and not to an
+    /// endpoint.
+    std::optional<std::int32_t> relayed_attempts_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -10,6 +10,7 @@
 #include "coordination/forwarding/forward_request.hpp"
 #include "coordination/forwarding/forward_settings.hpp"
 #include "coordination/forwarding/model_choice.hpp"
+#include "coordination/forwarding/relay_peers.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/session_pins.hpp"
 #include "coordination/forwarding/stalled_attempt.hpp"
@@ -124,6 +125,12 @@
         pool_.set_instances(settings_.instance_, std::move(instances), clock_.now());
     }
 
+    /// Sets the other instances to which requests can be passed on.
+    auto update_relay_peers(std::vector<relay_peer> peers) -> void { relay_peers_.set(std::move(peers)); }
+
+    /// Applies the result of a connection that the port was asked to try.
+    auto endpoint_probed(const state::endpoint_id& endpoint, bool is_reachable) -> void;
+
     /// Applies another instance's message about how much endpoints take, and answers it.
     auto receive_limits(const state::instance_id& from, const limit_message& message) -> void;
 
@@ -194,6 +201,22 @@
         bool is_judged_{false};
         /// Whether the attempt already counted as an answer that clears the parts of its prompt.
         bool has_cleared_parts_{false};
+        /// The instance that the request was passed on to instead of an endpoint; empty if it was not.
+        state::instance_id relay_;
+
+        auto is_relayed() const -> bool { return !relay_.is_empty(); }
+    };
+
+    /// A crash or silence that may be a loss of the own links instead.
+    struct suspected_failure {
+        state::time_point seen_at_;
+        forward_outcome outcome_{forward_outcome::crashed};
+        running_attempt attempt_;
+        std::string route_;
+        state::content_fingerprint content_;
+        std::vector<state::prompt_part_key> parts_;
+        /// Whether the request may have crashed the endpoint.
+        bool is_suspect_{false};
     };
 
     struct entry {
@@ -225,6 +248,8 @@
         state::service_name last_service_;
         state::version_name last_version_;
         std::set<state::endpoint_id> excluded_;
+        /// The instances that the request was passed on to.
+        std::set<state::instance_id> relays_;
         /// The parts of the prompt that other requests may share.
         std::vector<state::prompt_part_key> shared_parts_;
         /// Whether the request shows if blocked parts still crash endpoints.
@@ -271,6 +296,18 @@
         -> void;
     auto log_limit(const limit_news& news, const std::string& source) -> void;
     auto announce_decline(const running_attempt& attempt) -> void;
+    /// Whether the request should go to another instance, since the chosen endpoint is out of reach.
+    auto should_relay(const entry& item, const state::service_name& service,
+                      const std::optional<pool_choice>& choice) const -> bool;
+    /// Passes the request on to another instance. Returns false if there is none.
+    auto relay(entry& item, const state::service_name& service, const std::string& reason) -> bool;
+    auto finish_relay(entry& item, const running_attempt& attempt, forward_attempt_result result) -> void;
+    /// Tries connections to endpoints that were out of reach.
+    auto probe_endpoints() -> void;
+    /// Decides on failures, once it is known whether other endpoints are out of reach too.
+    auto judge_failures() -> void;
+    auto suspect_failure(const entry& item, const running_attempt& attempt, forward_outcome outcome)
+        -> suspected_failure&;
     /// Records the request as a suspect if its answer had not begun, or only just, when the endpoint crashed.
     auto record_crash(const entry& item, const running_attempt& attempt) -> void;
     /// When the attempt's answer began, if it has gone on for a while since.
@@ -338,6 +375,10 @@
     suspicion::crash_suspects suspects_;
     suspicion::part_suspects part_suspects_;
     std::vector<cleared_part> cleared_parts_;
+    relay_peers relay_peers_;
+    std::vector<suspected_failure> suspected_failures_;
+    /// The services whose endpoints were all out of reach at the last check, for the log.
+    std::set<state::service_name> cut_off_services_;
     std::map<state::service_name, retry::retry_budget> budgets_;
     std::map<state::request_handle, entry> entries_;
     std::map<state::attempt_handle, state::request_handle> owners_;
@@ -352,4 +393,5 @@
 #include "coordination/forwarding/forward_engine_attempts.hpp"
 #include "coordination/forwarding/forward_engine_crashes.hpp"
 #include "coordination/forwarding/forward_engine_limits.hpp"
+#include "coordination/forwarding/forward_engine_relays.hpp"
 #include "coordination/forwarding/forward_engine_requests.hpp"
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -73,13 +73,22 @@
 auto forward_engine<Clock, Random, Port>::response_headers_received(const response_headers& headers) -> void
 {
     // An attempt that was abandoned may still have passed its answer on, so its notice counts too.
-    apply_notice(headers.endpoint_, headers.notice_);
-    auto* item = headers.is_success_ ? find(headers.attempt_) : nullptr;
+    if (!headers.endpoint_.is_empty())
+        apply_notice(headers.endpoint_, headers.notice_);
+    auto* item = find(headers.attempt_);
     if (item == nullptr)
         return;
     const auto now = clock_.now();
     auto& attempt = *item->attempt_;
+    if (!attempt.is_relayed())
+        pool_.mark_reached(attempt.endpoint_, now);
+    if (!headers.is_success_)
+        return;
     attempt.first_byte_time_ = now - attempt.started_;
+    if (attempt.is_relayed()) {
+        relay_peers_.record_success(attempt.relay_);
+        return;
+    }
     remove_pending_work(attempt);
     // The queueing delay does not count as this request's service time. It is an estimate, so at least a
     // quarter of the time to first byte is always counted.
@@ -152,7 +161,7 @@
     if (item->route_.is_repeatable() && replace_silent_attempt(*item, "the stream is " + reason))
         return;
     auto& attempt = *item->attempt_;
-    if (attempt.is_judged_)
+    if (attempt.is_judged_ || attempt.is_relayed())
         return;
     log(*item, "keep_stalled", reason);
     const auto result =
@@ -167,6 +176,9 @@
     -> bool
 {
     const auto running = *item.attempt_;
+    // The other instance replaces it.
+    if (running.is_relayed())
+        return false;
     // Streams of one endpoint stall together, and the endpoints that they would move to may have no room.
     constexpr auto max_unconfirmed = std::ptrdiff_t{4};
     if (!may_run_again(item, forward_outcome::silent) || are_replacements_unconfirmed(max_unconfirmed))
@@ -177,7 +189,10 @@
     // Without other endpoints the pool chooses an excluded one.
     const auto is_usable = choice && choice->endpoint_ != running.endpoint_ &&
                            !pool_.is_ejected(choice->endpoint_, clock_.now());
-    if (!is_usable || !budgets_[running.service_].try_spend()) {
+    const auto can_relay =
+        !is_usable && should_relay(item, running.service_, choice) &&
+        relay_peers_.choose(settings_.data_centre_, item.relays_, clock_.now(), 0).has_value();
+    if ((!is_usable && !can_relay) || !budgets_[running.service_].try_spend()) {
         if (is_newly_excluded)
             item.excluded_.erase(running.endpoint_);
         return false;
@@ -187,7 +202,10 @@
         forward_attempt_result{.attempt_ = attempt.handle_, .outcome_ = forward_outcome::silent};
     update_endpoint_state(item, attempt, result);
     record_evidence(item, attempt, result);
-    dispatch(item, *choice, reason);
+    if (can_relay)
+        relay(item, attempt.service_, reason);
+    else
+        dispatch(item, *choice, reason);
     item.attempt_->is_replacement_ = true;
     return true;
 }
@@ -249,8 +267,15 @@
             reason.append(", ").append(progress_of(*item));
         log(*item, "attempt_over", std::move(reason));
     }
-    if (result.outcome_ == forward_outcome::complete && item->attempt_->first_byte_time_)
+    if (result.outcome_ == forward_outcome::complete && item->attempt_->first_byte_time_ &&
+        !item->attempt_->is_relayed())
         clear_parts(*item, *item->attempt_, item->attempt_->started_ + *item->attempt_->first_byte_time_);
+    if (item->attempt_->is_relayed()) {
+        const auto relayed = detach_attempt(*item);
+        finish_relay(*item, relayed, result);
+        dispatch_queued();
+        return;
+    }
     const auto attempt = close_attempt(*item, result);
     update_endpoint_state(*item, attempt, result);
     // A pause that an endpoint asks for says nothing about its version.
@@ -315,6 +340,7 @@
     switch (result.outcome_) {
     case forward_outcome::complete:
         pool_.mark_succeeded(attempt.endpoint_);
+        pool_.mark_reached(attempt.endpoint_, now);
         return;
     case forward_outcome::failed:
     case forward_outcome::broken:
@@ -350,9 +376,12 @@
         roll_outs_.record(attempt.service_, attempt.version_, item.route_.name_, attempt.endpoint_, is_good);
     };
     switch (result.outcome_) {
+    case forward_outcome::silent:
+        // A link that was lost is silent too.
+        suspect_failure(item, attempt, forward_outcome::silent);
+        return;
     case forward_outcome::failed:
     case forward_outcome::malformed:
-    case forward_outcome::silent:
     case forward_outcome::broken:
         // A bad version may abort its streams while the endpoint stays up.
         record(false);
@@ -461,10 +490,16 @@
     const auto service = pick_service(item);
     const auto choice = pool_.choose(query_for(item, service, item.model_), clock_.now(), random_.next());
     const auto is_usable = choice && !pool_.is_ejected(choice->endpoint_, clock_.now());
-    if (!is_usable || !budgets_[service].try_spend_reserve())
+    const auto can_relay =
+        !is_usable && should_relay(item, service, choice) &&
+        relay_peers_.choose(settings_.data_centre_, item.relays_, clock_.now(), 0).has_value();
+    if ((!is_usable && !can_relay) || !budgets_[service].try_spend_reserve())
         return;
     item.awaits_resumption_ = false;
-    dispatch(item, *choice, "resume");
+    if (can_relay)
+        relay(item, service, "resume");
+    else
+        dispatch(item, *choice, "resume");
     item.attempt_->is_replacement_ = true;
 }
 
--- a/libraries/coordination/forwarding/forward_engine_crashes.hpp
+++ b/libraries/coordination/forwarding/forward_engine_crashes.hpp
@@ -27,14 +27,9 @@
 {
     if (answer_began_at(attempt))
         return;
-    const auto now = clock_.now();
-    suspects_.add_local(item.request_.content_, attempt.endpoint_, now);
-    part_suspects_.record_crash(
-        {.endpoint_ = attempt.endpoint_, .parts_ = item.shared_parts_, .sent_at_ = attempt.started_}, now);
-    port_.announce_crash(crash_notice{.endpoint_ = attempt.endpoint_,
-                                      .content_ = item.request_.content_,
-                                      .parts_ = item.shared_parts_,
-                                      .sent_ago_ = now - attempt.started_});
+    // Its own copies wait for no verdict.
+    suspects_.add_local(item.request_.content_, attempt.endpoint_, clock_.now());
+    suspect_failure(item, attempt, forward_outcome::crashed).is_suspect_ = true;
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -53,7 +48,7 @@
 auto forward_engine<Clock, Random, Port>::judge_parts() -> void
 {
     for (auto& [handle, item] : entries_) {
-        if (!item.attempt_ || item.attempt_->has_cleared_parts_)
+        if (!item.attempt_ || item.attempt_->has_cleared_parts_ || item.attempt_->is_relayed())
             continue;
         if (const auto began_at = answer_began_at(*item.attempt_))
             clear_parts(item, *item.attempt_, *began_at);
--- /dev/null
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -0,0 +1,181 @@
+#pragma once
+
+// Part of forward_engine.hpp: endpoints out of reach, and requests passed on to other instances.
+
+#include "coordination/forwarding/forward_engine.hpp"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace buckthorndale::coordination::forwarding {
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::should_relay(const entry& item, const state::service_name& service,
+                                                       const std::optional<pool_choice>& choice) const -> bool
+{
+    constexpr auto max_relays = std::size_t{3};
+    constexpr auto max_unreachable = 2;
+    // A request takes one hop at most.
+    if (!choice || item.request_.relayed_attempts_ || item.relays_.size() >= max_relays)
+        return false;
+    return pool_.is_unreachable(choice->endpoint_) || pool_.is_cut_off(service) ||
+           item.unreachable_count_ >= max_unreachable;
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::relay(entry& item, const state::service_name& service,
+                                                const std::string& reason) -> bool
+{
+    const auto now = clock_.now();
+    const auto peer = relay_peers_.choose(settings_.data_centre_, item.relays_, now, random_.next());
+    if (!peer || item.attempts_ >= item.route_.max_attempts_)
+        return false;
+    // One attempt is kept in case that the other instance is lost.
+    const auto attempts = std::max(item.route_.max_attempts_ - item.attempts_ - 1, 1);
+    if (item.attempts_ == 0 && item.unreachable_count_ == 0)
+        budgets_[service].earn();
+    ++item.attempts_;
+    last_attempt_ = last_attempt_.next();
+    item.relays_.insert(peer->id_);
+    item.attempt_ =
+        running_attempt{.handle_ = last_attempt_, .service_ = service, .started_ = now, .relay_ = peer->id_};
+    owners_.emplace(last_attempt_, item.handle_);
+    // The other instance chooses the model anew.
+    item.is_model_settled_ = false;
+    if (item.request_.router_chooses_model_ && !item.route_.models_.empty())
+        item.model_ = first_model(item.route_);
+    log(item, "relay", reason + ", to " + peer->id_.text());
+    port_.dispatch(forward_command{.request_ = item.handle_,
+                                   .attempt_ = last_attempt_,
+                                   .address_ = peer->address_,
+                                   .kind_ = item.route_.kind_,
+                                   .deadline_ = item.deadline_,
+                                   .first_byte_timeout_ = item.deadline_ - now,
+                                   .stall_threshold_ = item.deadline_ - now,
+                                   .resume_after_ = item.last_event_,
+                                   .relayed_attempts_ = attempts});
+    return true;
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::finish_relay(entry& item, const running_attempt& attempt,
+                                                       forward_attempt_result result) -> void
+{
+    if (!result.last_event_.empty()) {
+        item.last_event_ = result.last_event_;
+        item.is_released_ = true;
+    }
+    const auto has_not_run = result.outcome_ == forward_outcome::declined ||
+                             result.outcome_ == forward_outcome::wrong_endpoint ||
+                             result.outcome_ == forward_outcome::not_sent;
+    if (has_not_run) {
+        --item.attempts_;
+        ++item.unreachable_count_;
+        result.outcome_ = forward_outcome::not_sent;
+    } else {
+        item.may_have_run_ = true;
+    }
+    const auto is_answer =
+        result.outcome_ == forward_outcome::complete || result.outcome_ == forward_outcome::failed;
+    if (is_answer)
+        relay_peers_.record_success(attempt.relay_);
+    else
+        relay_peers_.record_failure(attempt.relay_, clock_.now());
+    // The other instance has tried what there is to try.
+    if (result.outcome_ == forward_outcome::failed && !item.is_released_)
+        finish(item, attempt.handle_);
+    else
+        continue_after(item, attempt, result);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::endpoint_probed(const state::endpoint_id& endpoint,
+                                                          bool is_reachable) -> void
+{
+    if (is_reachable)
+        pool_.mark_reached(endpoint, clock_.now());
+    else
+        pool_.mark_unreachable(endpoint, clock_.now());
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::probe_endpoints() -> void
+{
+    for (const auto& id : pool_.take_probes(clock_.now(), random_.next())) {
+        if (const auto* endpoint = pool_.find(id))
+            port_.probe(id, endpoint->address_);
+    }
+    if (!pool_.has_lost_endpoints() && cut_off_services_.empty())
+        return;
+    for (const auto& service : pool_.services()) {
+        const auto is_cut_off = pool_.is_cut_off(service);
+        if (is_cut_off == cut_off_services_.contains(service))
+            continue;
+        if (is_cut_off)
+            cut_off_services_.insert(service);
+        else
+            cut_off_services_.erase(service);
+        port_.log(forward_log{.action_ = is_cut_off ? "links_lost" : "links_regained",
+                              .reason_ = "to the endpoints of " + service.text(),
+                              .generation_ = table_->generation_});
+    }
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::suspect_failure(const entry& item, const running_attempt& attempt,
+                                                          forward_outcome outcome) -> suspected_failure&
+{
+    if (outcome == forward_outcome::silent)
+        pool_.check_soon(attempt.endpoint_);
+    return suspected_failures_.emplace_back(suspected_failure{.seen_at_ = clock_.now(),
+                                                              .outcome_ = outcome,
+                                                              .attempt_ = attempt,
+                                                              .route_ = item.route_.name_,
+                                                              .content_ = item.request_.content_,
+                                                              .parts_ = item.shared_parts_});
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::judge_failures() -> void
+{
+    // Links that are reset refuse the connections that are tried; those that hang leave them without an
+    // answer.
+    constexpr auto crash_verdict_time = state::duration{std::chrono::milliseconds{80}};
+    constexpr auto silence_verdict_time = state::duration{std::chrono::milliseconds{300}};
+    // Endpoints rarely fail within the same moment; links do.
+    constexpr auto min_lost_beside = 2;
+    const auto now = clock_.now();
+    const auto is_due = [&](const suspected_failure& failure) {
+        const auto is_silence = failure.outcome_ == forward_outcome::silent;
+        return now - failure.seen_at_ >= (is_silence ? silence_verdict_time : crash_verdict_time);
+    };
+    const auto first_due = std::stable_partition(suspected_failures_.begin(), suspected_failures_.end(),
+                                                 [&](const auto& failure) { return !is_due(failure); });
+    const auto due = std::vector<suspected_failure>(first_due, suspected_failures_.end());
+    suspected_failures_.erase(first_due, suspected_failures_.end());
+    for (const auto& failure : due) {
+        const auto& attempt = failure.attempt_;
+        const auto is_own_link = pool_.is_cut_off(attempt.service_) ||
+                                 pool_.lost_beside(attempt.endpoint_, failure.seen_at_) >= min_lost_beside;
+        if (failure.outcome_ == forward_outcome::silent) {
+            if (!is_own_link && !pool_.is_unreachable(attempt.endpoint_))
+                roll_outs_.record(attempt.service_, attempt.version_, failure.route_, attempt.endpoint_,
+                                  false);
+            continue;
+        }
+        if (is_own_link) {
+            suspects_.withdraw(failure.content_, attempt.endpoint_);
+            continue;
+        }
+        part_suspects_.record_crash(
+            {.endpoint_ = attempt.endpoint_, .parts_ = failure.parts_, .sent_at_ = attempt.started_},
+            failure.seen_at_);
+        port_.announce_crash(crash_notice{.endpoint_ = attempt.endpoint_,
+                                          .content_ = failure.content_,
+                                          .parts_ = failure.parts_,
+                                          .sent_ago_ = now - attempt.started_});
+    }
+}
+
+} // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -88,6 +88,8 @@
     if (request.time_allowed_ > state::duration::zero())
         allowed = std::min(allowed, request.time_allowed_);
     item.deadline_ = now + allowed;
+    if (request.relayed_attempts_)
+        item.route_.max_attempts_ = std::min(item.route_.max_attempts_, *request.relayed_attempts_);
     item.last_event_ = request.last_event_;
     if (request.router_chooses_model_ && !route->models_.empty())
         item.model_ = first_model(*route);
@@ -192,7 +194,12 @@
         return;
     }
     const auto choice = pool_.choose(query_for(item, service, item.model_), clock_.now(), random_.next());
-    if (!choice) {
+    if (should_relay(item, service, choice) && relay(item, service, reason))
+        return;
+    // The instance that passed the request on can ask another one.
+    const auto is_out_of_reach =
+        choice && item.request_.relayed_attempts_ && pool_.is_unreachable(choice->endpoint_);
+    if (!choice || is_out_of_reach) {
         const auto kind =
             item.may_have_run_ ? state::error_kind::endpoint_failed : state::error_kind::no_capacity;
         refuse(item, kind, "No endpoint of the service is available.");
@@ -319,10 +326,12 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::detach_attempt(entry& item) -> running_attempt
 {
-    remove_pending_work(*item.attempt_);
+    if (!item.attempt_->is_relayed())
+        remove_pending_work(*item.attempt_);
     auto attempt = *item.attempt_;
     owners_.erase(attempt.handle_);
-    pool_.end(attempt.endpoint_);
+    if (!attempt.is_relayed())
+        pool_.end(attempt.endpoint_);
     item.attempt_.reset();
     return attempt;
 }
@@ -337,6 +346,8 @@
 auto forward_engine<Clock, Random, Port>::tick() -> void
 {
     const auto now = clock_.now();
+    probe_endpoints();
+    judge_failures();
     judge_parts();
     sweep_expired(now);
     sweep_late_attempts(now);
@@ -399,7 +410,8 @@
     constexpr auto max_expected_factor = 3;
     auto late = std::vector<state::request_handle>{};
     for (const auto& [handle, item] : entries_) {
-        if (!item.attempt_ || item.attempt_->first_byte_time_ || !item.route_.is_repeatable())
+        if (!item.attempt_ || item.attempt_->first_byte_time_ || !item.route_.is_repeatable() ||
+            item.attempt_->is_relayed())
             continue;
         const auto part = item.route_.latency_objective_ * late_fraction;
         const auto expected = item.attempt_->work_ + item.attempt_->queue_;
--- a/libraries/coordination/forwarding/forward_port.hpp
+++ b/libraries/coordination/forwarding/forward_port.hpp
@@ -9,6 +9,7 @@
 #include "coordination/routing/refusal.hpp"
 #include "coordination/suspicion/blocked_part.hpp"
 #include "state/identifiers.hpp"
+#include "state/network_address.hpp"
 
 #include <vector>
 
@@ -21,7 +22,8 @@
              const forward_command& command, const routing::refusal& why, const forward_log& line,
              const crash_notice& crash, const std::vector<cleared_part>& cleared,
              const std::vector<suspicion::blocked_part>& blocked, const leaving_endpoint& leaving,
-             const limit_message& limits, const state::instance_id& instance) {
+             const limit_message& limits, const state::instance_id& instance,
+             const state::endpoint_id& endpoint, const state::network_address& address) {
         /// Starts an attempt; its end is reported through forward_engine::attempt_ended.
         port.dispatch(command);
         /// Cancels an attempt; its end is not reported.
@@ -46,6 +48,9 @@
         port.ask_for_permits(limits);
         /// Answers another instance.
         port.send_limits(instance, limits);
+        /// Opens a connection to an endpoint and closes it; the result is reported through
+        /// forward_engine::endpoint_probed.
+        port.probe(endpoint, address);
         port.log(line);
     };
 
--- a/libraries/coordination/forwarding/forward_request.hpp
+++ b/libraries/coordination/forwarding/forward_request.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
     state::session_id session_;
     /// Id of the last event that the caller received in an earlier attempt; empty if there was none.
     std::string last_event_;
+    /// How many attempts this instance may make; set if another instance passed the request on.
+    std::optional<std::int32_t> relayed_attempts_;
 };
 
 /// Longer than any model's context. Prompt lengths come from callers, so they are clamped to keep sums of
--- a/libraries/coordination/membership/store_watchers.cpp
+++ b/libraries/coordination/membership/store_watchers.cpp
@@ -3,6 +3,7 @@
 #include "state/stable_hash.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace buckthorndale::coordination::membership {
@@ -99,6 +100,14 @@
     return ids;
 }
 
+auto store_watchers::other_instances() const -> std::vector<listed_instance>
+{
+    auto others = std::vector<listed_instance>{};
+    std::ranges::copy_if(instances_, std::back_inserter(others),
+                         [this](const auto& item) { return item.id_ != self_.id_; });
+    return others;
+}
+
 auto store_watchers::address_of(const state::instance_id& instance) const
     -> std::optional<state::network_address>
 {
--- a/libraries/coordination/membership/store_watchers.hpp
+++ b/libraries/coordination/membership/store_watchers.hpp
@@ -19,6 +19,8 @@
     state::network_address control_;
     /// The bandwidth of its link, in Mbit/s.
     std::int64_t link_mbps_{0};
+    /// Where it accepts requests that other instances pass on; none if it does not.
+    std::optional<state::network_address> relay_;
 
     auto operator<=>(const listed_instance&) const = default;
 };
@@ -51,6 +53,8 @@
     /// All instances, this one included.
     auto all() const -> std::vector<state::instance_id>;
 
+    auto other_instances() const -> std::vector<listed_instance>;
+
     /// Where another instance is reached; none if it is not listed.
     auto address_of(const state::instance_id& instance) const -> std::optional<state::network_address>;
 
--- a/libraries/coordination/suspicion/crash_suspects.cpp
+++ b/libraries/coordination/suspicion/crash_suspects.cpp
@@ -36,6 +36,16 @@
     return now - found->second.last_crash_ <= max_remote_retry_time;
 }
 
+auto crash_suspects::withdraw(state::content_fingerprint content, const state::endpoint_id& endpoint) -> void
+{
+    const auto found = entries_.find(content);
+    if (found == entries_.end())
+        return;
+    found->second.endpoints_.erase(endpoint);
+    if (found->second.endpoints_.empty())
+        entries_.erase(found);
+}
+
 auto crash_suspects::clear(state::content_fingerprint content) -> void
 {
     const auto found = entries_.find(content);
--- a/libraries/coordination/suspicion/crash_suspects.hpp
+++ b/libraries/coordination/suspicion/crash_suspects.hpp
@@ -35,6 +35,9 @@
         return crash_count(content) >= max_crashes;
     }
 
+    /// Takes back that the endpoint crashed while the content was in flight.
+    auto withdraw(state::content_fingerprint content, const state::endpoint_id& endpoint) -> void;
+
     /// Clears a suspect that was answered completely; blocked content stays blocked.
     auto clear(state::content_fingerprint content) -> void;
 
--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -125,6 +125,8 @@
     auto schedule_endpoint_expiry() -> void;
     auto apply_roll_outs() -> void;
     auto instance_spec() const -> Json::Value;
+    /// Tells the decision worker which instances there are.
+    auto publish_instances() -> void;
     auto register_instance() -> transport::http::awaitable<void>;
     /// Registers this instance if the listing of instances lacks it.
     auto register_again(const platform::object_listing& listing) -> transport::http::awaitable<void>;
--- a/services/front/control_worker_instances.cpp
+++ b/services/front/control_worker_instances.cpp
@@ -38,10 +38,15 @@
         const auto& spec = object["spec"];
         if (!spec["control"].isString() || !spec["data_centre"].isString())
             continue;
+        // Instances of older builds accept no requests of others.
+        const auto relay = spec["relay"].isString()
+                               ? std::optional{state::network_address_from_text(spec["relay"].asString())}
+                               : std::nullopt;
         instances.push_back({.id_ = state::instance_id{platform::read_metadata(object).name_},
                              .data_centre_ = state::data_centre_id{spec["data_centre"].asString()},
                              .control_ = state::network_address_from_text(spec["control"].asString()),
-                             .link_mbps_ = spec["link_mbps"].isInt64() ? spec["link_mbps"].asInt64() : 0});
+                             .link_mbps_ = spec["link_mbps"].isInt64() ? spec["link_mbps"].asInt64() : 0,
+                             .relay_ = relay});
     }
     return instances;
 }
@@ -54,9 +59,21 @@
     spec["control"] = settings_.control_address_.text();
     spec["data_centre"] = settings_.data_centre_.text();
     spec["link_mbps"] = Json::Int64{settings_.link_mbps_};
+    spec["relay"] = relay_address(settings_).text();
     return spec;
 }
 
+auto control_worker::publish_instances() -> void
+{
+    auto published = instances_published{.instances_ = watchers_.all()};
+    for (const auto& item : watchers_.other_instances()) {
+        if (item.relay_)
+            published.relays_.push_back(
+                {.id_ = item.id_, .data_centre_ = item.data_centre_, .address_ = *item.relay_});
+    }
+    post_to_decision(std::move(published));
+}
+
 auto control_worker::register_instance() -> http::awaitable<void>
 {
     const auto spec = instance_spec();
@@ -110,7 +127,7 @@
             else
                 watchers_.update(parse_instances(listing));
             peers_.set_peers(watchers_.others());
-            post_to_decision(instances_published{watchers_.all()});
+            publish_instances();
             are_instances_known_ = true;
         } catch (const store_error& fault) {
             log_.warn(std::string{"list of instances could not be read reason=\""} + fault.what() + "\"");
--- a/services/front/decision_port.hpp
+++ b/services/front/decision_port.hpp
@@ -87,6 +87,11 @@
         post_to_control(send_to_instance{.to_ = to, .message_ = {.from_ = instance_, .limits_ = limits}});
     }
 
+    auto probe(const state::endpoint_id& endpoint, const state::network_address& address) -> void
+    {
+        post_to_network(probe_endpoint{.endpoint_ = endpoint, .address_ = address});
+    }
+
     auto log(const forwarding::forward_log& entry) -> void
     {
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(entry.since_arrival_);
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -58,6 +58,9 @@
             [this](const forwarding::response_headers& item) { engine_.response_headers_received(item); },
             [this](const forwarding::stalled_attempt& item) { engine_.attempt_stalled(item); },
             [this](const forwarding::forward_attempt_result& item) { engine_.attempt_ended(item); },
+            [this](const endpoint_probed& item) {
+                engine_.endpoint_probed(item.endpoint_, item.is_reachable_);
+            },
             [this](const caller_disconnected& item) { engine_.caller_left(item.request_); },
         },
         event);
@@ -66,17 +69,19 @@
 
 auto decision_worker::handle(control_event& event) -> void
 {
-    std::visit(
-        state::overloaded{
-            [this](table_published& item) { engine_.configure(std::move(item.table_)); },
-            [this](const freshness_changed& item) { engine_.set_fresh(item.is_fresh_); },
-            [this](const endpoints_published& item) { engine_.update_endpoints(item.endpoints_); },
-            [this](const roll_outs_published& item) { engine_.update_roll_outs(item.roll_outs_); },
-            [this](instances_published& item) { engine_.update_instances(std::move(item.instances_)); },
-            [this](const peer_message_received& item) { handle_peer_message(item.message_); },
-            [this](const stop_requested&) { engine_.begin_stop(); },
-        },
-        event);
+    std::visit(state::overloaded{
+                   [this](table_published& item) { engine_.configure(std::move(item.table_)); },
+                   [this](const freshness_changed& item) { engine_.set_fresh(item.is_fresh_); },
+                   [this](const endpoints_published& item) { engine_.update_endpoints(item.endpoints_); },
+                   [this](const roll_outs_published& item) { engine_.update_roll_outs(item.roll_outs_); },
+                   [this](instances_published& item) {
+                       engine_.update_instances(std::move(item.instances_));
+                       engine_.update_relay_peers(std::move(item.relays_));
+                   },
+                   [this](const peer_message_received& item) { handle_peer_message(item.message_); },
+                   [this](const stop_requested&) { engine_.begin_stop(); },
+               },
+               event);
     update_gauge();
 }
 
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -4,6 +4,7 @@
 #include "coordination/forwarding/forward_command.hpp"
 #include "coordination/forwarding/forward_engine.hpp"
 #include "coordination/forwarding/forward_request.hpp"
+#include "coordination/forwarding/relay_peers.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
 #include "coordination/forwarding/stalled_attempt.hpp"
 #include "coordination/routing/refusal.hpp"
@@ -35,8 +36,14 @@
     state::request_handle request_;
 };
 
+/// The result of a connection that was tried.
+struct endpoint_probed {
+    state::endpoint_id endpoint_;
+    bool is_reachable_{false};
+};
+
 using network_event = std::variant<request_arrived, forwarding::response_headers, forwarding::stalled_attempt,
-                                   forwarding::forward_attempt_result, caller_disconnected>;
+                                   forwarding::forward_attempt_result, endpoint_probed, caller_disconnected>;
 
 // Events from the control worker to the decision worker.
 
@@ -59,6 +66,8 @@
 /// All instances that the store lists, this one included.
 struct instances_published {
     std::vector<state::instance_id> instances_;
+    /// The other ones to which requests can be passed on.
+    std::vector<forwarding::relay_peer> relays_;
 };
 
 struct peer_message_received {
@@ -92,8 +101,14 @@
     coordination::routing::refusal refusal_;
 };
 
+/// Opens a connection to an endpoint and closes it.
+struct probe_endpoint {
+    state::endpoint_id endpoint_;
+    state::network_address address_;
+};
+
 using network_action = std::variant<forwarding::forward_command, cancel_attempt, release_attempt,
-                                    finish_request, refuse_request>;
+                                    finish_request, refuse_request, probe_endpoint>;
 
 // Actions that the decision worker requests from the control worker.
 
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -79,21 +79,33 @@
         co_await read_complete_answer(state);
 }
 
+auto forward_runner::answer_headers(const progress& state) -> http::response
+{
+    const auto& command = state.attempt_.command_;
+    return platform::caller_response_headers(
+        *state.attempt_.stream_, state.call_.is_relayed_ ? command.endpoint_ : state::endpoint_id{});
+}
+
 auto forward_runner::handle_headers(progress& state, const platform::endpoint_response_headers& headers)
     -> http::awaitable<bool>
 {
     auto& result = state.result_;
     const auto& command = state.attempt_.command_;
-    result.has_asked_for_pause_ = headers.notice_.asks_for_pause();
+    const auto is_relayed = command.relayed_attempts_.has_value();
+    // A pause concerns the instance that the endpoint answered.
+    result.has_asked_for_pause_ = headers.notice_.asks_for_pause() && !is_relayed;
     // What another endpoint at this address states does not concern the one that was asked.
     if (headers.is_wrong_endpoint_) {
         result.outcome_ = forward_outcome::wrong_endpoint;
         co_return false;
     }
+    auto notice = headers.notice_;
+    if (is_relayed)
+        notice.pause_ = state::duration::zero();
     state.on_headers_({.attempt_ = command.attempt_,
                        .confidence_ = headers.confidence_,
-                       .endpoint_ = command.endpoint_,
-                       .notice_ = headers.notice_,
+                       .endpoint_ = is_relayed ? headers.answering_endpoint_ : command.endpoint_,
+                       .notice_ = std::move(notice),
                        .is_success_ = headers.is_success_ && headers.is_genuine_ && !headers.has_not_run_});
     if (headers.has_not_run_) {
         result.outcome_ = forward_outcome::declined;
@@ -121,7 +133,7 @@
 {
     auto& attempt = state.attempt_;
     const auto remaining = std::max(attempt.command_.deadline_ - clock_.now(), state::duration{1});
-    auto answer = platform::caller_response_headers(*attempt.stream_);
+    auto answer = answer_headers(state);
     while (true) {
         const auto bytes = co_await attempt.stream_->read_some(remaining);
         if (bytes.empty())
@@ -183,7 +195,7 @@
     if (number && last && *number <= *last)
         return;
     if (!std::exchange(call.has_sent_headers_, true))
-        call.output_.push(answer_started{platform::caller_response_headers(*state.attempt_.stream_)});
+        call.output_.push(answer_started{answer_headers(state)});
     if (!event.id_.empty()) {
         state.result_.last_event_ = event.id_;
         call.last_event_ = event.id_;
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -41,6 +41,8 @@
     };
 
     auto send_and_receive(progress& state) -> transport::http::awaitable<void>;
+    /// The headers of the answer for the caller.
+    static auto answer_headers(const progress& state) -> transport::http::response;
     auto handle_headers(progress& state, const platform::endpoint_response_headers& headers)
         -> transport::http::awaitable<bool>;
     auto read_complete_answer(progress& state) -> transport::http::awaitable<void>;
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -44,13 +44,16 @@
 /// The network worker's state of one caller's request.
 struct forwarded_call {
     forwarded_call(transport::http::asio::io_context& context, state::request_handle handle,
-                   transport::http::request message)
-        : handle_{handle}, message_{std::move(message)}, output_{context, max_queued_items}
+                   transport::http::request message, bool is_relayed)
+        : handle_{handle}, message_{std::move(message)}, output_{context, max_queued_items},
+          is_relayed_{is_relayed}
     {}
 
     state::request_handle handle_;
     transport::http::request message_;
     answer_queue output_;
+    /// Whether the caller is another instance.
+    bool is_relayed_{false};
     std::map<state::attempt_handle, std::shared_ptr<forward_attempt>> attempts_;
     /// Whether the response headers of a stream were queued for the caller.
     bool has_sent_headers_{false};
--- a/services/front/front_settings.cpp
+++ b/services/front/front_settings.cpp
@@ -35,6 +35,11 @@
 
 } // namespace
 
+auto relay_address(const front_settings& settings) -> state::network_address
+{
+    return {.host_ = settings.control_address_.host_, .port_ = settings.peer_port_};
+}
+
 auto read_front_settings(const std::string& path) -> front_settings
 {
     constexpr auto max_port = 65'535;
--- a/services/front/front_settings.hpp
+++ b/services/front/front_settings.hpp
@@ -40,6 +40,9 @@
     protocol::settings::log_settings log_;
 };
 
+/// Where the instance accepts requests that others pass on: the TCP port with the number of the UDP one.
+auto relay_address(const front_settings& settings) -> state::network_address;
+
 /// Reads and checks the settings file. Throws error of kind invalid_settings.
 auto read_front_settings(const std::string& path) -> front_settings;
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -35,6 +35,9 @@
     return {.address_ = settings.probe_address_, .max_connections_ = max_probe_connections};
 }
 
+/// Connections within a region open within a few milliseconds.
+constexpr auto probe_timeout = state::duration{std::chrono::milliseconds{200}};
+
 /// Between reports of the same stall, since an endpoint that accepts the stream may appear meanwhile.
 constexpr auto stall_report_interval = state::duration{std::chrono::milliseconds{500}};
 constexpr auto stall_check_interval = state::duration{std::chrono::milliseconds{100}};
@@ -62,7 +65,9 @@
     : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)}, store_{store},
       client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_},
       callers_{worker_.context(), caller_server_settings(settings),
-               [this](http::exchange& exchange) { return serve_caller(exchange); }},
+               [this](http::exchange& exchange) { return serve_caller(exchange, false); }},
+      relayed_{worker_.context(), http::server_settings{.address_ = relay_address(settings)},
+               [this](http::exchange& exchange) { return serve_caller(exchange, true); }},
       probes_{worker_.context(), probe_server_settings(settings),
               [this](http::exchange& exchange) { return serve_probe(exchange); }},
       stall_ticker_{worker_.context(), stall_check_interval, [this] { report_stalled_attempts(); }},
@@ -74,6 +79,7 @@
     last_stall_check_ = clock_.now();
     stall_ticker_.start();
     callers_.start();
+    relayed_.start();
     probes_.start();
     worker_.start();
 }
@@ -85,7 +91,10 @@
 
 auto network_worker::set_limits(const state::caller_limits& limits) -> void
 {
-    http::asio::post(worker_.context(), [this, limits] { callers_.set_limits(limits); });
+    http::asio::post(worker_.context(), [this, limits] {
+        callers_.set_limits(limits);
+        relayed_.set_limits(limits);
+    });
 }
 
 auto network_worker::announce_closing() -> void
@@ -130,13 +139,15 @@
     return load;
 }
 
-auto network_worker::serve_caller(http::exchange& exchange) -> http::awaitable<void>
+auto network_worker::serve_caller(http::exchange& exchange, bool is_relayed) -> http::awaitable<void>
 {
-    auto request = platform::read_request(exchange.message());
+    auto request = is_relayed ? platform::read_relayed_request(exchange.message())
+                              : platform::read_request(exchange.message());
     exchange.set_label("request=" + request.id_.text());
     last_handle_ = last_handle_.next();
     const auto handle = last_handle_;
-    const auto call = std::make_shared<forwarded_call>(worker_.context(), handle, exchange.message());
+    const auto call =
+        std::make_shared<forwarded_call>(worker_.context(), handle, exchange.message(), is_relayed);
     call->arrived_at_ = clock_.now();
     calls_.emplace(handle, call);
     open_calls_.store(calls_.size());
@@ -199,12 +210,22 @@
                    [this](const forwarding::forward_command& command) { begin_attempt(command); },
                    [this](const cancel_attempt& item) { cancel(item.attempt_); },
                    [this](const release_attempt& item) { release(item); },
+                   [this](const probe_endpoint& item) {
+                       http::asio::co_spawn(worker_.context(), probe(item),
+                                            transport::logging::failure_log{"network", "probe"});
+                   },
                    [this](const finish_request& item) { finish(item); },
                    [this](const refuse_request& item) { refuse(item); },
                },
                action);
 }
 
+auto network_worker::probe(probe_endpoint action) -> http::awaitable<void>
+{
+    const auto is_reachable = co_await client_.is_reachable(action.address_, probe_timeout);
+    post_to_decision(endpoint_probed{.endpoint_ = action.endpoint_, .is_reachable_ = is_reachable});
+}
+
 auto network_worker::begin_attempt(const forwarding::forward_command& command) -> void
 {
     const auto call = find_call(command.request_);
@@ -315,7 +336,9 @@
         call->output_.push(answer_aborted{std::string{state::to_string(action.refusal_.kind_)} + ": " +
                                           action.refusal_.detail_});
     else
-        call->output_.push(complete_answer{platform::refusal_response(action.refusal_)});
+        call->output_.push(complete_answer{call->is_relayed_
+                                               ? platform::relayed_refusal_response(action.refusal_)
+                                               : platform::refusal_response(action.refusal_)});
 }
 
 auto network_worker::find_call(state::request_handle handle) -> std::shared_ptr<forwarded_call>
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -52,7 +52,8 @@
 
 private:
     auto load() const -> network_load;
-    auto serve_caller(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
+    auto serve_caller(transport::http::exchange& exchange, bool is_relayed)
+        -> transport::http::awaitable<void>;
     auto serve_probe(transport::http::exchange& exchange) -> transport::http::awaitable<void>;
     /// The only place where a call ends, whoever notices its end first: cancels its attempts, ends the wait
     /// for its answer, and tells the decision worker unless that has decided on the answer.
@@ -65,6 +66,7 @@
         -> transport::http::awaitable<void>;
     /// Reports streams whose endpoints send nothing to the decision worker.
     auto report_stalled_attempts() -> void;
+    auto probe(probe_endpoint action) -> transport::http::awaitable<void>;
     auto cancel(state::attempt_handle attempt) -> void;
     auto release(const release_attempt& action) -> void;
     auto finish(const finish_request& action) -> void;
@@ -82,6 +84,8 @@
     transport::http::client client_;
     forward_runner runner_;
     transport::http::server callers_;
+    /// Requests that other instances pass on.
+    transport::http::server relayed_;
     transport::http::server probes_;
     transport::worker::ticker stall_ticker_;
     state::time_point last_stall_check_{};
--- a/tests/coordination/slow_versions.cpp
+++ b/tests/coordination/slow_versions.cpp
@@ -111,6 +111,9 @@
             -> void
         {}
 
+        auto probe(const state::endpoint_id& /*endpoint*/, const state::network_address& /*address*/) -> void
+        {}
+
         auto announce_limits(const forwarding::limit_message& /*message*/) -> void {}
 
         auto ask_for_permits(const forwarding::limit_message& /*message*/) -> void {}
--- a/tests/world/crashing_part_fleet.cpp
+++ b/tests/world/crashing_part_fleet.cpp
@@ -68,6 +68,11 @@
     auto announce_cleared_parts(const std::vector<forwarding::cleared_part>& cleared) -> void;
     auto announce_blocked_parts(const std::vector<coordination::suspicion::blocked_part>& blocked) -> void;
 
+    auto probe(const state::endpoint_id& endpoint, const state::network_address& /*address*/) -> void
+    {
+        fleet_.probe(number_, endpoint);
+    }
+
     auto announce_limits(const forwarding::limit_message& /*message*/) -> void {}
 
     auto ask_for_permits(const forwarding::limit_message& /*message*/) -> void {}
@@ -289,6 +294,14 @@
     time_.after(prefill, [this, number] { begin_answer(number); });
 }
 
+auto crashing_part_fleet::probe(std::size_t where, const state::endpoint_id& endpoint) -> void
+{
+    time_.after(network_time, [this, where, endpoint] {
+        const auto found = std::ranges::find(endpoints_, endpoint, &fake_endpoint::id_);
+        instances_.at(where)->engine_.endpoint_probed(endpoint, found != endpoints_.end() && found->is_up_);
+    });
+}
+
 auto crashing_part_fleet::is_current(const attempt& item) const -> bool
 {
     return !item.is_over_ && endpoints_.at(item.endpoint_).starts_ == item.endpoint_start_ &&
--- a/tests/world/crashing_part_fleet.hpp
+++ b/tests/world/crashing_part_fleet.hpp
@@ -98,6 +98,7 @@
     auto report_blocked_parts(std::size_t where) -> void;
     auto publish() -> void;
     auto dispatch(std::size_t where, const coordination::forwarding::forward_command& command) -> void;
+    auto probe(std::size_t where, const state::endpoint_id& endpoint) -> void;
     auto begin_answer(std::size_t number) -> void;
     auto end_answer(std::size_t number) -> void;
     auto crash(std::size_t endpoint) -> void;
--- a/tests/world/cut_off_fleet.cpp
+++ b/tests/world/cut_off_fleet.cpp
@@ -17,6 +17,9 @@
 constexpr auto tick_interval = state::duration{20ms};
 constexpr auto network_time = state::duration{1ms};
 constexpr auto connect_timeout = state::duration{250ms};
+constexpr auto probe_timeout = state::duration{150ms};
+/// The handles of requests at the instance that they were passed on to.
+constexpr auto first_passed_on = std::uint64_t{1'000'000'000};
 constexpr auto objective = state::duration{300ms};
 /// The users' window.
 constexpr auto stable_window = state::duration{3s};
@@ -35,7 +38,8 @@
                             .max_attempts_ = 3,
                             .targets_ = {{.service_ = service}}};
     };
-    table->routes_ = {route("safe", state::request_kind::safe), route("once", state::request_kind::non_idempotent)};
+    table->routes_ = {route("safe", state::request_kind::safe),
+                      route("once", state::request_kind::non_idempotent)};
     return table;
 }
 
@@ -51,12 +55,12 @@
 
     auto finish(state::request_handle request, state::attempt_handle /*attempt*/) -> void
     {
-        fleet_.finish(request, true);
+        fleet_.finish(request, true, true);
     }
 
-    auto refuse(state::request_handle request, const coordination::routing::refusal& /*why*/) -> void
+    auto refuse(state::request_handle request, const coordination::routing::refusal& why) -> void
     {
-        fleet_.finish(request, false);
+        fleet_.finish(request, false, why.run_ != coordination::routing::run_state::not_run);
     }
 
     auto announce_crash(const forwarding::crash_notice& /*crash*/) -> void
@@ -71,6 +75,11 @@
 
     auto announce_leaving(const forwarding::leaving_endpoint& /*leaving*/) -> void {}
 
+    auto probe(const state::endpoint_id& endpoint, const state::network_address& /*address*/) -> void
+    {
+        fleet_.probe(number_, endpoint);
+    }
+
     auto announce_limits(const forwarding::limit_message& /*message*/) -> void {}
 
     auto ask_for_permits(const forwarding::limit_message& /*message*/) -> void {}
@@ -120,6 +129,7 @@
         engine.set_fresh(true);
         engine.update_roll_outs({});
         engine.update_endpoints(endpoints_);
+        engine.update_relay_peers(peers_of(i));
         schedule_tick(i);
     }
     schedule_requests();
@@ -129,6 +139,19 @@
     return result_;
 }
 
+auto cut_off_fleet::peers_of(std::size_t where) const -> std::vector<forwarding::relay_peer>
+{
+    auto peers = std::vector<forwarding::relay_peer>{};
+    for (auto i = std::size_t{0}; i < plan_.instances_; ++i) {
+        if (i != where)
+            peers.push_back(
+                {.id_ = state::instance_id{"front-" + std::to_string(i)},
+                 .data_centre_ = state::data_centre_id{"dc-" + std::to_string(i % plan_.data_centres_)},
+                 .address_ = {.host_ = "10.1.0.1", .port_ = static_cast<std::uint16_t>(i + 1)}});
+    }
+    return peers;
+}
+
 auto cut_off_fleet::time_until(double mean_seconds) -> state::duration
 {
     const auto seconds = -std::log(1.0 - random_.unit()) * mean_seconds;
@@ -206,6 +229,10 @@
 {
     const auto number = attempts_.size();
     attempts_.push_back({.instance_ = where, .command_ = command});
+    if (command.relayed_attempts_) {
+        pass_on(number);
+        return;
+    }
     const auto found = std::ranges::find(endpoints_, command.endpoint_, &state::registered_endpoint::id_);
     const auto endpoint = static_cast<std::size_t>(found - endpoints_.begin());
     attempts_.back().endpoint_ = endpoint;
@@ -215,7 +242,7 @@
         return;
     }
     attempts_.back().is_connected_ = true;
-    auto& request = requests_.at(command.request_);
+    auto& request = requests_.at(origin_of(command.request_));
     if (++request.runs_ > 1 && !request.is_repeatable_)
         ++result_.repeated_runs_;
     time_.after(30ms + time_until(0.03), [this, number] {
@@ -229,6 +256,42 @@
     });
 }
 
+auto cut_off_fleet::origin_of(state::request_handle handle) const -> state::request_handle
+{
+    const auto found = passed_on_.find(handle);
+    return found == passed_on_.end() ? handle : attempts_.at(found->second).command_.request_;
+}
+
+auto cut_off_fleet::pass_on(std::size_t number) -> void
+{
+    const auto command = attempts_.at(number).command_;
+    ++result_.passed_on_;
+    result_.late_passed_on_ += is_late(time_.now()) ? 1 : 0;
+    time_.after(network_time, [this, number, command] {
+        const auto handle = state::request_handle{first_passed_on + passed_on_.size()};
+        passed_on_[handle] = number;
+        const auto& request = requests_.at(command.request_);
+        instances_.at(command.address_.port_ - 1U)
+            ->engine_.arrive(handle, {.id_ = state::request_id{std::to_string(command.request_.value())},
+                                      .host_ = "h",
+                                      .path_ = request.is_repeatable_ ? "/safe" : "/once",
+                                      .content_ = state::content_fingerprint{command.request_.value()},
+                                      .time_allowed_ = command.deadline_ - time_.now(),
+                                      .relayed_attempts_ = command.relayed_attempts_});
+    });
+}
+
+auto cut_off_fleet::probe(std::size_t where, const state::endpoint_id& endpoint) -> void
+{
+    const auto found = std::ranges::find(endpoints_, endpoint, &state::registered_endpoint::id_);
+    const auto number = static_cast<std::size_t>(found - endpoints_.begin());
+    const auto is_reachable = !is_cut(where, number);
+    const auto is_silent = !is_reachable && plan_.kind_ == link_cut::hang;
+    time_.after(is_silent ? probe_timeout : network_time, [this, where, endpoint, is_reachable] {
+        instances_.at(where)->engine_.endpoint_probed(endpoint, is_reachable);
+    });
+}
+
 auto cut_off_fleet::end_attempt(std::size_t number, forward_outcome outcome) -> void
 {
     auto& item = attempts_.at(number);
@@ -246,8 +309,16 @@
     }
 }
 
-auto cut_off_fleet::finish(state::request_handle handle, bool is_answered) -> void
+auto cut_off_fleet::finish(state::request_handle handle, bool is_answered, bool may_have_run) -> void
 {
+    const auto passed_on = passed_on_.find(handle);
+    if (passed_on != passed_on_.end()) {
+        const auto unanswered = may_have_run ? forward_outcome::broken : forward_outcome::declined;
+        time_.after(network_time, [this, number = passed_on->second, is_answered, unanswered] {
+            end_attempt(number, is_answered ? forward_outcome::complete : unanswered);
+        });
+        return;
+    }
     auto& request = requests_.at(handle);
     if (std::exchange(request.is_over_, true) || !is_answered)
         return;
--- a/tests/world/cut_off_fleet.hpp
+++ b/tests/world/cut_off_fleet.hpp
@@ -104,7 +104,13 @@
     auto dispatch(std::size_t where, const coordination::forwarding::forward_command& command) -> void;
     auto end_attempt(std::size_t number, coordination::forwarding::forward_outcome outcome) -> void;
     auto cancel(std::size_t where, state::attempt_handle handle) -> void;
-    auto finish(state::request_handle handle, bool is_answered) -> void;
+    auto finish(state::request_handle handle, bool is_answered, bool may_have_run) -> void;
+    auto peers_of(std::size_t where) const -> std::vector<coordination::forwarding::relay_peer>;
+    /// Hands a request over to the instance that its command names.
+    auto pass_on(std::size_t number) -> void;
+    /// The caller's request behind one that may have been passed on.
+    auto origin_of(state::request_handle handle) const -> state::request_handle;
+    auto probe(std::size_t where, const state::endpoint_id& endpoint) -> void;
     auto time_until(double mean_seconds) -> state::duration;
 
     cut_off_plan plan_;
@@ -117,6 +123,8 @@
     std::vector<state::registered_endpoint> endpoints_;
     std::vector<attempt> attempts_;
     std::map<state::request_handle, caller_request> requests_;
+    /// The attempt behind each request that was passed on.
+    std::map<state::request_handle, std::size_t> passed_on_;
     cut_off_result result_;
 };
 
--- a/tests/world/forward_simulation.cpp
+++ b/tests/world/forward_simulation.cpp
@@ -387,6 +387,17 @@
         record_violation("a request was held past its deadline");
 }
 
+auto forward_simulation::probe(const state::endpoint_id& endpoint, const state::network_address& /*address*/)
+    -> void
+{
+    time_.after(std::chrono::milliseconds{1}, [this, endpoint] {
+        const auto found = endpoints_.find(endpoint);
+        const auto is_reachable =
+            found != endpoints_.end() && found->second.condition_ != endpoint_condition::unreachable;
+        holder_->engine_.endpoint_probed(endpoint, is_reachable);
+    });
+}
+
 auto forward_simulation::announce_limits(const forwarding::limit_message& /*message*/) -> void {}
 
 auto forward_simulation::ask_for_permits(const forwarding::limit_message& /*message*/) -> void {}
--- a/tests/world/stated_limit_fleet.cpp
+++ b/tests/world/stated_limit_fleet.cpp
@@ -76,6 +76,11 @@
 
     auto announce_leaving(const forwarding::leaving_endpoint& /*leaving*/) -> void {}
 
+    auto probe(const state::endpoint_id& endpoint, const state::network_address& /*address*/) -> void
+    {
+        fleet_.probe(number_, endpoint);
+    }
+
     auto announce_limits(const forwarding::limit_message& message) -> void;
     auto ask_for_permits(const forwarding::limit_message& message) -> void;
     auto send_limits(const state::instance_id& to, const forwarding::limit_message& message) -> void;
@@ -278,6 +283,14 @@
     time_.after(network_time, [this, number] { accept(number); });
 }
 
+auto stated_limit_fleet::probe(std::size_t where, const state::endpoint_id& endpoint) -> void
+{
+    time_.after(network_time, [this, where, endpoint] {
+        const auto found = std::ranges::find(endpoints_, endpoint, &fake_endpoint::id_);
+        instances_.at(where)->engine_.endpoint_probed(endpoint, found != endpoints_.end() && found->is_up_);
+    });
+}
+
 auto stated_limit_fleet::is_alive(const attempt& item) const -> bool
 {
     return !item.is_over_ && instances_.at(item.instance_)->start_ == item.instance_start_;
--- a/tests/world/stated_limit_fleet.hpp
+++ b/tests/world/stated_limit_fleet.hpp
@@ -120,6 +120,7 @@
     auto publish() -> void;
     auto send_request() -> void;
     auto dispatch(std::size_t where, const coordination::forwarding::forward_command& command) -> void;
+    auto probe(std::size_t where, const state::endpoint_id& endpoint) -> void;
     auto accept(std::size_t number) -> void;
     /// Whether endpoints are going to let fewer requests wait, and already say that they are brittle.
     auto is_brittle_time_near() const -> bool;
