forwarding: Keep the model of a stream whose rest another instance serves

The rest of a stream that an instance passes on after it has lost its links was asked for with any model, so the other instance began with the smallest again and could drop what it got. Found by reading; the name of the model now goes along once the caller has events.

--- a/libraries/coordination/forwarding/forward_engine_relays.hpp
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -41,15 +41,14 @@
     item.attempt_ =
         running_attempt{.handle_ = last_attempt_, .service_ = service, .started_ = now, .relay_ = peer->id_};
     owners_.emplace(last_attempt_, item.handle_);
-    // The other instance chooses the model anew.
-    item.is_model_settled_ = false;
-    if (item.request_.router_chooses_model_ && !item.route_.models_.empty())
-        item.model_ = first_model(item.route_);
+    // The other instance chooses the model, but the rest of a stream stays on the one that began it.
+    const auto model = item.is_released_ ? item.model_ : state::model_name{};
     log(item, "relay", reason + ", to " + peer->id_.text());
     port_.dispatch(forward_command{.request_ = item.handle_,
                                    .attempt_ = last_attempt_,
                                    .address_ = peer->address_,
                                    .kind_ = item.route_.kind_,
+                                   .model_ = model,
                                    .deadline_ = item.deadline_,
                                    .first_byte_timeout_ = item.deadline_ - now,
                                    .stall_threshold_ = item.deadline_ - now,
