--- a/utilities/fault_proxy/proxied_route.cpp
+++ b/utilities/fault_proxy/proxied_route.cpp
@@ -40,17 +40,18 @@
     using enum route_fault;
     for (const auto& [name, fault] :
          {std::pair{"none", none}, std::pair{"delay", delay}, std::pair{"cut", cut},
-          std::pair{"silence", silence}, std::pair{"reset", reset}}) {
+          std::pair{"silence", silence}, std::pair{"reset", reset}, std::pair{"refuse", refuse},
+          std::pair{"refuse_new", refuse_new}}) {
         if (text == name)
             return fault;
     }
     throw state::error{state::error_kind::invalid_request, "There is no such fault.",
-                       "Choose none, delay, cut, silence or reset."};
+                       "Choose none, delay, cut, silence, reset, refuse or refuse_new."};
 }
 
 proxied_route::proxied_route(asio::io_context& context, const state::network_address& listen,
                              state::network_address target)
-    : context_{context}, acceptor_{context, transport::http::to_socket_address(listen)},
+    : context_{context}, acceptor_{context, transport::http::to_socket_address(listen)}, listen_{listen},
       target_{std::move(target)}
 {}
 
@@ -62,20 +63,38 @@
 auto proxied_route::set_fault(route_fault fault) -> void
 {
     fault_ = fault;
+    set_listening(fault != route_fault::refuse && fault != route_fault::refuse_new);
     for (const auto& item : connections_) {
         if (fault == route_fault::silence)
             item->is_silent_ = true;
-        if (fault == route_fault::reset) {
+        if (fault == route_fault::reset || fault == route_fault::refuse) {
             reset(item->caller_);
             reset(item->target_);
         }
     }
 }
 
+auto proxied_route::set_listening(bool is_listening) -> void
+{
+    if (is_listening == acceptor_.is_open())
+        return;
+    if (!is_listening) {
+        acceptor_.close();
+        return;
+    }
+    acceptor_ = asio::ip::tcp::acceptor{context_, transport::http::to_socket_address(listen_)};
+    start();
+}
+
 auto proxied_route::accept() -> awaitable<void>
 {
     while (true) {
-        auto caller = co_await acceptor_.async_accept(asio::use_awaitable);
+        auto fault = boost::system::error_code{};
+        auto caller = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, fault));
+        if (fault == asio::error::operation_aborted)
+            co_return;
+        if (fault)
+            continue;
         auto item = std::make_shared<connection>(std::move(caller));
         asio::co_spawn(context_, serve(std::move(item)), asio::detached);
     }
--- a/utilities/fault_proxy/proxied_route.hpp
+++ b/utilities/fault_proxy/proxied_route.hpp
@@ -24,6 +24,10 @@
     silence,
     /// Connections that are open now are reset.
     reset,
+    /// Connections that are open now are reset, and new ones refused until the fault ends.
+    refuse,
+    /// New connections are refused until the fault ends.
+    refuse_new,
 };
 
 /// Throws error of kind invalid_request for anything else.
@@ -54,6 +58,7 @@
     using connection_pointer = std::shared_ptr<connection>;
 
     auto accept() -> transport::http::awaitable<void>;
+    auto set_listening(bool is_listening) -> void;
     auto serve(connection_pointer item) -> transport::http::awaitable<void>;
     /// Passes bytes on in one direction until an end is closed.
     auto pass_on(connection_pointer item, bool is_answer) -> transport::http::awaitable<void>;
@@ -62,6 +67,7 @@
 
     transport::http::asio::io_context& context_;
     transport::http::asio::ip::tcp::acceptor acceptor_;
+    state::network_address listen_;
     state::network_address target_;
     route_fault fault_{route_fault::none};
     std::set<connection_pointer> connections_;
