forwarding: Pass requests on again whose instance does not answer

A request that was passed on to an instance which is suspended waited until its deadline, as only the other instance watches the endpoint. What may be repeated now goes to another instance after its latency objective, one second at the least, and the silent one is left out.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -301,6 +301,9 @@
                       const std::optional<pool_choice>& choice) const -> bool;
     /// Passes the request on to another instance. Returns false if there is none.
     auto relay(entry& item, const state::service_name& service, const std::string& reason) -> bool;
+    /// Passes requests on once more whose instance has not answered in time, as one that is suspended does
+    /// not.
+    auto sweep_late_relays(state::time_point now) -> void;
     auto finish_relay(entry& item, const running_attempt& attempt, forward_attempt_result result,
                       bool had_run) -> void;
     /// Tries connections to endpoints that were out of reach.
--- a/libraries/coordination/forwarding/forward_engine_relays.hpp
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -57,6 +57,32 @@
     return true;
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::sweep_late_relays(state::time_point now) -> void
+{
+    // The other instance waits for its endpoints for a part of the objective.
+    constexpr auto min_wait = state::duration{std::chrono::seconds{1}};
+    auto late = std::vector<state::request_handle>{};
+    for (const auto& [handle, item] : entries_) {
+        const auto is_waiting =
+            item.attempt_ && item.attempt_->is_relayed() && !item.attempt_->first_byte_time_;
+        if (is_waiting &&
+            now - item.attempt_->started_ > std::max(item.route_.latency_objective_, min_wait) &&
+            may_run_again(item, forward_outcome::silent))
+            late.push_back(handle);
+    }
+    for (const auto handle : late) {
+        auto& item = entries_.at(handle);
+        const auto running = *item.attempt_;
+        relay_peers_.record_failure(running.relay_, now);
+        const auto can_relay = relay_peers_.choose(settings_.data_centre_, item.relays_, now, 0).has_value();
+        if (!can_relay || !budgets_[running.service_].try_spend())
+            continue;
+        abandon_attempt(item);
+        relay(item, running.service_, "the other instance does not answer");
+    }
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::finish_relay(entry& item, const running_attempt& attempt,
                                                        forward_attempt_result result, bool had_run) -> void
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -351,6 +351,7 @@
     judge_parts();
     sweep_expired(now);
     sweep_late_attempts(now);
+    sweep_late_relays(now);
     resume_waiting_streams();
     dispatch_queued();
     if (auto wanted = pool_.limits().wanted_permits(now); !wanted.empty())
--- a/tests/coordination/cut_off_instances.cpp
+++ b/tests/coordination/cut_off_instances.cpp
@@ -77,6 +77,19 @@
     }
 }
 
+/// Guards against requests that wait for an instance which is suspended.
+BOOST_AUTO_TEST_CASE(a_suspended_instance_does_not_hold_what_is_passed_on_to_it)
+{
+    for (auto seed = std::uint64_t{1}; seed <= seed_count(6); ++seed) {
+        const auto result = cut_off_fleet{{.seed_ = seed, .has_suspension_ = true}}.run();
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << result.cut_answered_ << " of " << result.cut_sent_
+                                   << ", in time " << result.cut_in_time_);
+        // What may run once is lost with the instance that had it, a request or two before it is left out.
+        BOOST_TEST(share(result.cut_answered_, result.cut_sent_) >= 0.95);
+        BOOST_TEST(result.repeated_runs_ == 0);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
--- a/tests/world/cut_off_fleet.cpp
+++ b/tests/world/cut_off_fleet.cpp
@@ -135,6 +135,10 @@
     schedule_requests();
     time_.after(plan_.cut_from_, [this] { cut_links(); });
     time_.after(plan_.cut_from_ + plan_.cut_for_, [this] { is_cut_now_ = false; });
+    if (plan_.has_suspension_) {
+        time_.after(plan_.cut_from_ + 5s, [this] { is_last_suspended_ = true; });
+        time_.after(plan_.cut_from_ + 8s, [this] { is_last_suspended_ = false; });
+    }
     time_.run_until(started_ + plan_.duration_);
     return result_;
 }
@@ -268,6 +272,11 @@
     ++result_.passed_on_;
     result_.late_passed_on_ += is_late(time_.now()) ? 1 : 0;
     time_.after(network_time, [this, number, command] {
+        const auto is_suspended =
+            is_last_suspended_ && command.address_.port_ == static_cast<std::uint16_t>(plan_.instances_);
+        // The callers of a suspended instance are not counted, only what others pass on to it.
+        if (is_suspended)
+            return;
         const auto handle = state::request_handle{first_passed_on + passed_on_.size()};
         passed_on_[handle] = number;
         const auto& request = requests_.at(command.request_);
--- a/tests/world/cut_off_fleet.hpp
+++ b/tests/world/cut_off_fleet.hpp
@@ -37,6 +37,8 @@
     bool is_whole_data_centre_{false};
     /// The endpoints that they do not reach: the first ones.
     std::size_t cut_endpoints_{9};
+    /// Whether the last instance is suspended in the middle of the cut, for three seconds.
+    bool has_suspension_{false};
     state::duration cut_from_{std::chrono::seconds{5}};
     state::duration cut_for_{std::chrono::seconds{12}};
     state::duration duration_{std::chrono::seconds{24}};
@@ -119,6 +121,7 @@
     coordination::time::seeded_random random_;
     state::time_point started_;
     bool is_cut_now_{false};
+    bool is_last_suspended_{false};
     std::vector<std::unique_ptr<instance>> instances_;
     std::vector<state::registered_endpoint> endpoints_;
     std::vector<attempt> attempts_;
