platform_stand_in: Build a tag without a sum of strings

The release build of the whole tree (CMAKE_BUILD_TYPE=Release) failed here: g++ 12 takes the sum of a literal and a number's text for an overlapping copy (-Werror=restrict), a fault of the compiler. The text is the same. Seen with build-release, which gets past this file now.

--- a/utilities/platform_stand_in/object_table.hpp
+++ b/utilities/platform_stand_in/object_table.hpp
@@ -15,7 +15,13 @@
     std::string value_;
     std::uint64_t version_{0};
 
-    auto tag() const -> std::string { return "\"" + std::to_string(version_) + "\""; }
+    auto tag() const -> std::string
+    {
+        auto text = std::to_string(version_);
+        text.insert(text.begin(), '"');
+        text.push_back('"');
+        return text;
+    }
 };
 
 /// What a put did.
