--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -159,6 +159,7 @@
 auto decision_worker::update_gauge() -> void
 {
     gauge_.publish(engine_.is_ready(), engine_.size());
+    limited_endpoints_.store(engine_.limited_endpoints());
 }
 
 } // namespace buckthorndale::services::front
--- a/services/front/decision_worker.hpp
+++ b/services/front/decision_worker.hpp
@@ -11,6 +11,8 @@
 #include "transport/worker/worker.hpp"
 #include "transport/worker/worker_gauge.hpp"
 
+#include <atomic>
+#include <cstddef>
 #include <cstdint>
 
 namespace buckthorndale::services::front {
@@ -36,6 +38,9 @@
     /// The number of unfinished requests; any thread.
     auto requests_inside() const -> std::size_t { return gauge_.requests_inside(); }
 
+    /// The number of endpoints that name a limit; any thread.
+    auto limited_endpoints() const -> std::size_t { return limited_endpoints_.load(); }
+
 private:
     using engine_type = forwarding::forward_engine<transport::process::system_clock,
                                                    transport::process::system_random, decision_port>;
@@ -61,6 +66,7 @@
     transport::ring::bounded_ring<network_event> from_network_;
     transport::ring::bounded_ring<control_event> from_control_;
     transport::worker::worker_gauge gauge_;
+    std::atomic<std::size_t> limited_endpoints_{0};
     std::uint64_t ticks_{0};
     /// Whether the last work report had entries; after that one empty report is sent.
     bool has_reported_work_{false};
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -61,8 +61,10 @@
 } // namespace
 
 network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready,
-                               std::function<std::size_t()> decision_requests, const store_gauge& store)
-    : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)}, store_{store},
+                               std::function<std::size_t()> decision_requests,
+                               std::function<std::size_t()> limited_endpoints, const store_gauge& store)
+    : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)},
+      limited_endpoints_{std::move(limited_endpoints)}, store_{store},
       client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_},
       callers_{worker_.context(), caller_server_settings(settings),
                [this](http::exchange& exchange) { return serve_caller(exchange, false); }},
@@ -135,6 +137,7 @@
             load.store_ages_[kind] = clock_.boot_now() - *confirmed_at;
     }
     const auto undecided = load.calls_ - load.decided_calls_;
+    load.limited_endpoints_ = limited_endpoints_();
     load.unknown_calls_ = undecided - std::min(undecided, decision_requests_());
     return load;
 }
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -24,10 +24,11 @@
 /// worker.
 class network_worker {
 public:
-    /// The functions tell whether requests can be served, and how many unfinished ones the decision worker
-    /// knows; both may be called on any thread.
+    /// The functions tell whether requests can be served, how many unfinished ones the decision worker knows,
+    /// and how many endpoints name a limit; all may be called on any thread.
     network_worker(const front_settings& settings, std::function<bool()> is_ready,
-                   std::function<std::size_t()> decision_requests, const store_gauge& store);
+                   std::function<std::size_t()> decision_requests,
+                   std::function<std::size_t()> limited_endpoints, const store_gauge& store);
 
     /// Sets the ring to the decision worker; must be called before start().
     auto connect(transport::ring::bounded_ring<network_event>& decision) -> void { decision_ = &decision; }
@@ -79,6 +80,7 @@
     transport::worker::worker worker_{"network"};
     std::function<bool()> is_ready_;
     std::function<std::size_t()> decision_requests_;
+    std::function<std::size_t()> limited_endpoints_;
     const store_gauge& store_;
     traffic_metrics metrics_;
     transport::http::client client_;
--- a/tests/processes/limits_of_endpoints.sh
+++ b/tests/processes/limits_of_endpoints.sh
@@ -38,6 +38,9 @@
 expect "requests in four seconds at desk-1" "$(($(most_at desk-1) <= 17))" 1
 expect "the limit is known everywhere" "$(grep -l action=endpoint_limit "$folder"/front-*.log | wc -l)" 3
 
+expect "limited endpoints in the metrics" \
+    "$(curl -s "http://127.0.0.1:$(port 11)/metrics" | awk '$1 == "buckthorndale_limited_endpoints" { print $2 }')" 1
+
 # A value that cannot be read changes nothing; the end of the limit is found soon.
 stand_in '/fault?endpoint=desk-1&kind=none&limit=many' >/dev/null
 look_up 1 2 >/dev/null
