--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -242,6 +242,8 @@
     call->attempts_.emplace(command.attempt_, attempt);
     attempts_.emplace(command.attempt_, attempt);
     metrics_.record_attempt();
+    if (command.relayed_attempts_)
+        metrics_.record_relay();
     http::asio::co_spawn(worker_.context(), run_attempt(call, std::move(attempt)),
                          transport::logging::failure_log{"network", "run_attempt"});
 }
--- a/services/front/traffic_metrics.cpp
+++ b/services/front/traffic_metrics.cpp
@@ -67,6 +67,7 @@
     write_histogram(text, "buckthorndale_first_event_seconds", first_event_);
     write_histogram(text, "buckthorndale_answer_seconds", complete_answer_);
     text << "buckthorndale_attempts_total " << attempts_ << "\n";
+    text << "buckthorndale_requests_passed_on_total " << relays_ << "\n";
     text << "buckthorndale_requests_inside " << load.calls_ << "\n";
     const auto waiting = load.calls_ - load.streaming_calls_ - load.decided_calls_;
     text << "buckthorndale_calls{state=\"waiting\"} " << waiting << "\n";
--- a/services/front/traffic_metrics.hpp
+++ b/services/front/traffic_metrics.hpp
@@ -44,6 +44,9 @@
 
     auto record_attempt() -> void { ++attempts_; }
 
+    /// Records a request that is passed on to another instance.
+    auto record_relay() -> void { ++relays_; }
+
     auto page(const network_load& load) const -> std::string;
 
 private:
@@ -53,6 +56,7 @@
     histogram_type first_event_;
     histogram_type complete_answer_;
     std::uint64_t attempts_{0};
+    std::uint64_t relays_{0};
     std::map<state::error_kind, std::uint64_t> refusals_;
 };
 
