forwarding: Count silence as evidence at once while no endpoint is out of reach

Since links that hang are told from versions that are slow, each silent attempt counted 300 ms later, and not at all if a connection to its endpoint failed, as it may at a full one. Evidence on slow versions came later than it need. Silence is now held back only while endpoints of the service are out of reach.

--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -127,6 +127,12 @@
     /// Whether endpoints became unreachable and no other one of their service has been reached since.
     auto has_lost_endpoints() const -> bool { return !lost_.empty(); }
 
+    /// The same for one service.
+    auto has_lost_endpoints(const state::service_name& service) const -> bool
+    {
+        return lost_.contains(service);
+    }
+
     /// The endpoints to which a connection should be tried now: those that were unreachable for a while, and
     /// some others of a service of which one was lost a moment ago. Records them as tried.
     auto take_probes(state::time_point now, std::uint64_t random) -> std::vector<state::endpoint_id>;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -379,7 +379,10 @@
     switch (result.outcome_) {
     case forward_outcome::silent:
         // A link that was lost is silent too.
-        suspect_failure(item, attempt, forward_outcome::silent);
+        if (pool_.has_lost_endpoints(attempt.service_))
+            suspect_failure(item, attempt, forward_outcome::silent);
+        else
+            record(false);
         return;
     case forward_outcome::failed:
     case forward_outcome::malformed:
