--- a/tests/coordination/stated_limits.cpp
+++ b/tests/coordination/stated_limits.cpp
@@ -51,7 +51,7 @@
 {
     auto all = std::vector<state::instance_id>{};
     for (auto number = std::size_t{0}; number < instances; ++number)
-        all.push_back(state::instance_id{"front-" + std::to_string(number)});
+        all.emplace_back("front-" + std::to_string(number));
     auto limits = coordination::forwarding::endpoint_limits{};
     limits.set_instances(all.at(own), all, now);
     return limits;
