forwarding: Take an endpoint as reached only when it answers

Callers of an instance whose links to endpoints accept connections and carry nothing were not served: a sidecar, a SYN proxy or a balancer accepts for a host that is out of reach.

Cause: mark_reached() took an accepted connection as proof, and probes only opened connections. No attempt that stayed silent led to a probe, so that the loss was never noticed.

Now an endpoint is reached when bytes of an answer came back. Probes send a request that runs nothing: the health check, or the report of state of a model endpoint, which needs no slot. An attempt that waits for its headers longer than check_after() lets its endpoint be probed: after half a second at most while no endpoint of the service answers. Attempts at an endpoint that is out of reach move at once if they may be repeated. Silence and broken answers count as evidence on a version once a probe of the endpoint was answered. After a loss, the other endpoints to probe are taken by turns from the same data centre and from others.

Ruled out: weighing the failures against reports of other instances. It needs a message for each endpoint and instance while nothing fails; a probe shows the same within 0.3 s.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -4,6 +4,7 @@
 #include "state/stable_hash.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <numeric>
 #include <tuple>
@@ -25,10 +26,11 @@
 /// endpoint may fail alone.
 constexpr auto min_lost = std::size_t{2};
 constexpr auto max_lost = std::size_t{3};
-/// Connections that are tried at a time.
+/// Endpoints that are probed at a time.
 constexpr auto max_probes = std::size_t{3};
-/// After the loss of one endpoint, so many others of its service are tried, if they were not just reached.
+/// After the loss of one endpoint, so many others of its service are probed, if they were not just reached.
 constexpr auto max_sibling_probes = std::size_t{6};
+constexpr auto check_interval = state::duration{std::chrono::seconds{1}};
 constexpr auto sibling_probe_interval = state::duration{std::chrono::milliseconds{20}};
 /// Endpoints that are lost together are found to be so within this time.
 constexpr auto common_loss_time = state::duration{std::chrono::milliseconds{80}};
@@ -395,7 +397,7 @@
     if (std::exchange(known->is_unreachable_, true))
         return;
     known->lost_at_ = now;
-    sibling_probes_[service] = max_sibling_probes;
+    sibling_probes_[service] = {.left_ = max_sibling_probes, .data_centre_ = known->endpoint_.data_centre_};
 }
 
 auto endpoint_pool::mark_reached(const state::endpoint_id& id, state::time_point now) -> void
@@ -404,6 +406,9 @@
     if (known == nullptr)
         return;
     known->checked_at_ = now;
+    known->heard_at_ = now;
+    known->must_be_checked_ = false;
+    services_heard_at_[known->endpoint_.service_] = now;
     if (std::exchange(known->is_unreachable_, false)) {
         known->consecutive_failures_ = 0;
         known->ejected_until_ = {};
@@ -432,6 +437,25 @@
         known->must_be_checked_ = true;
 }
 
+auto endpoint_pool::check_if_due(const state::endpoint_id& id, state::time_point now) -> void
+{
+    auto* known = find_entry(id);
+    if (known != nullptr && !known->is_unreachable_ && now - known->probed_at_ > check_interval)
+        known->must_be_checked_ = true;
+}
+
+auto endpoint_pool::heard_at(const state::endpoint_id& id) const -> state::time_point
+{
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? state::time_point{} : found->second.heard_at_;
+}
+
+auto endpoint_pool::heard_at(const state::service_name& service) const -> state::time_point
+{
+    const auto found = services_heard_at_.find(service);
+    return found == services_heard_at_.end() ? state::time_point{} : found->second;
+}
+
 auto endpoint_pool::services() const -> std::set<state::service_name>
 {
     auto services = std::set<state::service_name>{};
@@ -475,29 +499,30 @@
                 continue;
             probes.push_back(id);
             known.checked_at_ = now;
+            known.probed_at_ = now;
             known.ejected_until_ = now + unreachable_ejection_time;
             continue;
         }
         if (std::exchange(known.must_be_checked_, false)) {
             probes.push_back(id);
             known.checked_at_ = now;
+            known.probed_at_ = now;
             continue;
         }
         if (sibling_probes_.contains(known.endpoint_.service_) &&
             now - known.checked_at_ > sibling_probe_interval)
             siblings.push_back(&known);
     }
-    std::ranges::sort(siblings, {}, [random](const entry* known) {
-        return state::stable_hash(known->endpoint_.id_.text(), random);
-    });
+    sort_siblings(siblings, random);
     for (auto* known : siblings) {
-        auto& left = sibling_probes_[known->endpoint_.service_];
+        auto& left = sibling_probes_[known->endpoint_.service_].left_;
         if (probes.size() >= max_probes)
             return probes;
         if (left == 0)
             continue;
         --left;
         known->checked_at_ = now;
+        known->probed_at_ = now;
         probes.push_back(known->endpoint_.id_);
     }
     // Those that are left have been reached a moment ago.
@@ -505,6 +530,22 @@
     return probes;
 }
 
+auto endpoint_pool::sort_siblings(std::vector<entry*>& siblings, std::uint64_t random) const -> void
+{
+    std::ranges::sort(siblings, {}, [random](const entry* known) {
+        return state::stable_hash(known->endpoint_.id_.text(), random);
+    });
+    auto positions = std::array<std::size_t, 2>{};
+    auto ranked = std::vector<std::pair<std::size_t, entry*>>{};
+    for (auto* known : siblings) {
+        const auto& lost = sibling_probes_.at(known->endpoint_.service_).data_centre_;
+        const auto group = known->endpoint_.data_centre_ == lost ? 0U : 1U;
+        ranked.emplace_back(2 * positions.at(group)++ + group, known);
+    }
+    std::ranges::sort(ranked);
+    std::ranges::transform(ranked, siblings.begin(), &std::pair<std::size_t, entry*>::second);
+}
+
 auto endpoint_pool::mark_full(const state::endpoint_id& id, state::time_point now) -> void
 {
     if (auto* known = find_entry(id))
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -106,7 +106,8 @@
     /// there is no other.
     auto mark_unreachable(const state::endpoint_id& id, state::time_point now) -> void;
 
-    /// Records that the endpoint was reached: it answered, or accepted a connection.
+    /// Records that bytes of an answer came from the endpoint. An accepted connection is no evidence that it
+    /// is reached, since proxies and balancers accept connections on behalf of hosts.
     auto mark_reached(const state::endpoint_id& id, state::time_point now) -> void;
 
     auto is_unreachable(const state::endpoint_id& id) const -> bool;
@@ -114,6 +115,13 @@
     /// Lets take_probes() return the endpoint next time.
     auto check_soon(const state::endpoint_id& id) -> void;
 
+    /// The same, unless the endpoint is out of reach or was probed a moment ago.
+    auto check_if_due(const state::endpoint_id& id, state::time_point now) -> void;
+
+    /// When bytes of an answer last came from the endpoint, and from any endpoint of the service.
+    auto heard_at(const state::endpoint_id& id) const -> state::time_point;
+    auto heard_at(const state::service_name& service) const -> state::time_point;
+
     /// The services of all endpoints.
     auto services() const -> std::set<state::service_name>;
 
@@ -127,14 +135,8 @@
     /// Whether endpoints became unreachable and no other one of their service has been reached since.
     auto has_lost_endpoints() const -> bool { return !lost_.empty(); }
 
-    /// The same for one service.
-    auto has_lost_endpoints(const state::service_name& service) const -> bool
-    {
-        return lost_.contains(service);
-    }
-
-    /// The endpoints to which a connection should be tried now: those that were unreachable for a while, and
-    /// some others of a service of which one was lost a moment ago. Records them as tried.
+    /// The endpoints from which an answer should be asked for now: those that were unreachable for a while,
+    /// and some others of a service of which one was lost a moment ago. Records them as tried.
     auto take_probes(state::time_point now, std::uint64_t random) -> std::vector<state::endpoint_id>;
 
     /// Records that the endpoint refused a request because it was full, and ejects it briefly.
@@ -197,8 +199,10 @@
         state::time_point ejected_until_{};
         bool is_unreachable_{false};
         state::time_point lost_at_{};
-        /// When the endpoint was last reached, or a connection to it tried.
+        /// When the endpoint was last reached or probed.
         state::time_point checked_at_{};
+        state::time_point heard_at_{};
+        state::time_point probed_at_{};
         bool must_be_checked_{false};
         /// Moving average of the time to first byte as of `last_sample_at_`, as a fraction of the latency
         /// objective.
@@ -234,8 +238,20 @@
     std::map<state::endpoint_id, entry> entries_;
     /// The endpoints of a service that became unreachable since one of them was last reached.
     std::map<state::service_name, std::set<state::endpoint_id>> lost_;
-    /// How many endpoints of a service are still to be tried after the loss of another one.
-    std::map<state::service_name, std::size_t> sibling_probes_;
+
+    /// The endpoints of a service to probe after the loss of another one.
+    struct sibling_probes {
+        std::size_t left_{0};
+        /// Where the lost one is.
+        state::data_centre_id data_centre_;
+    };
+
+    /// Sorts the endpoints to probe: at random, by turns from the lost one's data centre and from the others,
+    /// so that the loss of a data centre is told from the loss of the own links.
+    auto sort_siblings(std::vector<entry*>& siblings, std::uint64_t random) const -> void;
+
+    std::map<state::service_name, sibling_probes> sibling_probes_;
+    std::map<state::service_name, state::time_point> services_heard_at_;
     leaving_endpoints leaving_;
     endpoint_pauses pauses_;
     endpoint_limits limits_;
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -128,7 +128,7 @@
     /// Sets the other instances to which requests can be passed on.
     auto update_relay_peers(std::vector<relay_peer> peers) -> void { relay_peers_.set(std::move(peers)); }
 
-    /// Applies the result of a connection that the port was asked to try.
+    /// Applies the result of a probe that the port was asked for: whether bytes of an answer came back.
     auto endpoint_probed(const state::endpoint_id& endpoint, bool is_reachable) -> void;
 
     /// Applies another instance's message about how much endpoints take, and answers it.
@@ -207,7 +207,7 @@
         auto is_relayed() const -> bool { return !relay_.is_empty(); }
     };
 
-    /// A crash or silence that may be a loss of the own links instead.
+    /// A failure that may be a loss of the own links instead.
     struct suspected_failure {
         state::time_point seen_at_;
         forward_outcome outcome_{forward_outcome::crashed};
@@ -306,8 +306,10 @@
     auto sweep_late_relays(state::time_point now) -> void;
     auto finish_relay(entry& item, const running_attempt& attempt, forward_attempt_result result,
                       bool had_run) -> void;
-    /// Tries connections to endpoints that were out of reach.
+    /// Asks for probes of endpoints that were out of reach or may be.
     auto probe_endpoints() -> void;
+    /// Lets the endpoints be probed whose attempts wait for response headers longer than usual.
+    auto check_silent_attempts(state::time_point now) -> void;
     /// Decides on failures, once it is known whether other endpoints are out of reach too.
     auto judge_failures() -> void;
     auto suspect_failure(const entry& item, const running_attempt& attempt, forward_outcome outcome)
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -181,7 +181,9 @@
         return false;
     // Streams of one endpoint stall together, and the endpoints that they would move to may have no room.
     constexpr auto max_unconfirmed = std::ptrdiff_t{4};
-    if (!may_run_again(item, forward_outcome::silent) || are_replacements_unconfirmed(max_unconfirmed))
+    if (!may_run_again(item, forward_outcome::silent))
+        return false;
+    if (!pool_.is_unreachable(running.endpoint_) && are_replacements_unconfirmed(max_unconfirmed))
         return false;
     const auto is_newly_excluded = item.excluded_.insert(running.endpoint_).second;
     const auto choice =
@@ -343,9 +345,12 @@
         pool_.mark_succeeded(attempt.endpoint_);
         pool_.mark_reached(attempt.endpoint_, now);
         return;
-    case forward_outcome::failed:
     case forward_outcome::broken:
     case forward_outcome::silent:
+        pool_.mark_failed(attempt.endpoint_, now);
+        pool_.check_soon(attempt.endpoint_);
+        return;
+    case forward_outcome::failed:
     case forward_outcome::malformed:
         pool_.mark_failed(attempt.endpoint_, now);
         return;
@@ -378,16 +383,12 @@
     };
     switch (result.outcome_) {
     case forward_outcome::silent:
-        // A link that was lost is silent too.
-        if (pool_.has_lost_endpoints(attempt.service_))
-            suspect_failure(item, attempt, forward_outcome::silent);
-        else
-            record(false);
+    case forward_outcome::broken:
+        // A bad version is silent or aborts its streams while its endpoint answers probes.
+        suspect_failure(item, attempt, result.outcome_);
         return;
     case forward_outcome::failed:
     case forward_outcome::malformed:
-    case forward_outcome::broken:
-        // A bad version may abort its streams while the endpoint stays up.
         record(false);
         return;
     case forward_outcome::complete:
--- a/libraries/coordination/forwarding/forward_engine_relays.hpp
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -3,6 +3,7 @@
 // Part of forward_engine.hpp: endpoints out of reach, and requests passed on to other instances.
 
 #include "coordination/forwarding/forward_engine.hpp"
+#include "coordination/forwarding/silence_check.hpp"
 
 #include <algorithm>
 #include <string>
@@ -126,12 +127,27 @@
         pool_.mark_unreachable(endpoint, clock_.now());
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::check_silent_attempts(state::time_point now) -> void
+{
+    for (const auto& [handle, item] : entries_) {
+        if (!item.attempt_ || item.attempt_->first_byte_time_ || item.attempt_->is_relayed())
+            continue;
+        const auto& attempt = *item.attempt_;
+        const auto waited = now - std::max(attempt.started_, pool_.heard_at(attempt.endpoint_));
+        const auto is_service_silent = pool_.heard_at(attempt.service_) < attempt.started_;
+        if (waited >
+            check_after(item.route_.latency_objective_, attempt.work_ + attempt.queue_, is_service_silent))
+            pool_.check_if_due(attempt.endpoint_, now);
+    }
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::probe_endpoints() -> void
 {
     for (const auto& id : pool_.take_probes(clock_.now(), random_.next())) {
         if (const auto* endpoint = pool_.find(id))
-            port_.probe(id, endpoint->address_);
+            port_.probe(id, endpoint->address_, table_->probe_path(endpoint->service_));
     }
     if (!pool_.has_lost_endpoints() && cut_off_services_.empty())
         return;
@@ -153,8 +169,6 @@
 auto forward_engine<Clock, Random, Port>::suspect_failure(const entry& item, const running_attempt& attempt,
                                                           forward_outcome outcome) -> suspected_failure&
 {
-    if (outcome == forward_outcome::silent)
-        pool_.check_soon(attempt.endpoint_);
     return suspected_failures_.emplace_back(suspected_failure{.seen_at_ = clock_.now(),
                                                               .outcome_ = outcome,
                                                               .attempt_ = attempt,
@@ -166,16 +180,15 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::judge_failures() -> void
 {
-    // Links that are reset refuse the connections that are tried; those that hang leave them without an
-    // answer.
+    // Links that are reset refuse the connections that are tried; others leave probes without an answer.
     constexpr auto crash_verdict_time = state::duration{std::chrono::milliseconds{80}};
-    constexpr auto silence_verdict_time = state::duration{std::chrono::milliseconds{300}};
+    constexpr auto probe_verdict_time = state::duration{std::chrono::milliseconds{400}};
     // Endpoints rarely fail within the same moment; links do.
     constexpr auto min_lost_beside = 2;
     const auto now = clock_.now();
     const auto is_due = [&](const suspected_failure& failure) {
-        const auto is_silence = failure.outcome_ == forward_outcome::silent;
-        return now - failure.seen_at_ >= (is_silence ? silence_verdict_time : crash_verdict_time);
+        const auto is_crash = failure.outcome_ == forward_outcome::crashed;
+        return now - failure.seen_at_ >= (is_crash ? crash_verdict_time : probe_verdict_time);
     };
     const auto first_due = std::stable_partition(suspected_failures_.begin(), suspected_failures_.end(),
                                                  [&](const auto& failure) { return !is_due(failure); });
@@ -185,7 +198,7 @@
         const auto& attempt = failure.attempt_;
         const auto is_own_link = pool_.is_cut_off(attempt.service_) ||
                                  pool_.lost_beside(attempt.endpoint_, failure.seen_at_) >= min_lost_beside;
-        if (failure.outcome_ == forward_outcome::silent) {
+        if (failure.outcome_ != forward_outcome::crashed) {
             if (!is_own_link && !pool_.is_unreachable(attempt.endpoint_))
                 roll_outs_.record(attempt.service_, attempt.version_, failure.route_, attempt.endpoint_,
                                   false);
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -346,6 +346,7 @@
 auto forward_engine<Clock, Random, Port>::tick() -> void
 {
     const auto now = clock_.now();
+    check_silent_attempts(now);
     probe_endpoints();
     judge_failures();
     judge_parts();
@@ -418,15 +419,19 @@
         const auto expected = item.attempt_->work_ + item.attempt_->queue_;
         const auto limit =
             std::max(std::chrono::duration_cast<state::duration>(part), expected * max_expected_factor);
-        if (now - item.attempt_->started_ > limit && item.attempts_ < item.route_.max_attempts_ &&
-            first_byte_latency_.objective_ratio(item.route_.name_) < max_objective_ratio)
+        const auto is_late = now - item.attempt_->started_ > limit &&
+                             first_byte_latency_.objective_ratio(item.route_.name_) < max_objective_ratio;
+        const auto is_lost = pool_.is_unreachable(item.attempt_->endpoint_);
+        if ((is_late || is_lost) && item.attempts_ < item.route_.max_attempts_)
             late.push_back(handle);
     }
     for (const auto handle : late) {
         auto& item = entries_.at(handle);
         const auto endpoint = item.attempt_->endpoint_;
         const auto elapsed = now - item.attempt_->started_;
-        if (!replace_silent_attempt(item, "the response headers are late"))
+        const auto is_lost = pool_.is_unreachable(endpoint);
+        const auto reason = is_lost ? "the endpoint is out of reach" : "the response headers are late";
+        if (!replace_silent_attempt(item, reason) || is_lost)
             continue;
         first_byte_latency_.record(item.route_.name_, elapsed, item.route_.latency_objective_);
         pool_.record_first_byte(endpoint, 1.0, now);
--- a/libraries/state/routing_table.cpp
+++ b/libraries/state/routing_table.cpp
@@ -14,4 +14,10 @@
     return found;
 }
 
+auto routing_table::probe_path(const service_name& service) const -> std::string
+{
+    const auto found = probe_paths_.find(service);
+    return found == probe_paths_.end() ? "/" : found->second;
+}
+
 } // namespace buckthorndale::state
--- a/libraries/state/routing_table.hpp
+++ b/libraries/state/routing_table.hpp
@@ -36,11 +36,17 @@
     std::vector<route> routes_;
     caller_limits limits_;
     std::map<std::string, key_owner, std::less<>> keys_;
+    /// The path of a request that an endpoint of the service answers without running anything.
+    std::map<service_name, std::string> probe_paths_;
     /// Whether requests require a key.
     bool needs_keys_{false};
 
     /// The route of the host with the longest prefix that matches the path; null when none matches.
     auto find_route(std::string_view host, std::string_view path) const -> const route*;
+
+    /// The path with which to probe the service's endpoints; "/" if none is configured, which endpoints
+    /// answer too.
+    auto probe_path(const service_name& service) const -> std::string;
 };
 
 } // namespace buckthorndale::state
--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -223,6 +223,24 @@
     }
 }
 
+auto client::answers(const state::network_address& peer, request message, state::duration timeout)
+    -> awaitable<bool>
+{
+    try {
+        const auto deadline = std::chrono::steady_clock::now() + timeout;
+        const auto stream =
+            co_await send_over(co_await connect(peer, timeout), peer, std::move(message), timeout);
+        auto fault = boost::system::error_code{};
+        auto byte = char{};
+        stream->connection_->expires_at(deadline);
+        co_await stream->connection_->async_read_some(asio::buffer(&byte, 1),
+                                                      asio::redirect_error(use_awaitable, fault));
+        co_return !fault;
+    } catch (const client_error&) {
+        co_return false;
+    }
+}
+
 auto client::connect(const state::network_address& peer, state::duration timeout)
     -> awaitable<std::unique_ptr<beast::tcp_stream>>
 {
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -132,6 +132,11 @@
     /// A terminating process closes its listener last, so a single accepted connection is no evidence.
     auto is_reachable(const state::network_address& peer, state::duration timeout) -> awaitable<bool>;
 
+    /// Whether bytes of a response to the request come back within the timeout, over a new connection. An
+    /// accepted connection is no evidence, since proxies accept on behalf of hosts.
+    auto answers(const state::network_address& peer, request message, state::duration timeout)
+        -> awaitable<bool>;
+
     /// Closes all idle connections to a peer; used after one of them turned out to be dead.
     auto drop_idle(const state::network_address& peer) -> void { idle_.erase(peer); }
 
--- a/services/front/decision_port.hpp
+++ b/services/front/decision_port.hpp
@@ -87,9 +87,10 @@
         post_to_control(send_to_instance{.to_ = to, .message_ = {.from_ = instance_, .limits_ = limits}});
     }
 
-    auto probe(const state::endpoint_id& endpoint, const state::network_address& address) -> void
+    auto probe(const state::endpoint_id& endpoint, const state::network_address& address,
+               const std::string& path) -> void
     {
-        post_to_network(probe_endpoint{.endpoint_ = endpoint, .address_ = address});
+        post_to_network(probe_endpoint{.endpoint_ = endpoint, .address_ = address, .path_ = path});
     }
 
     auto log(const forwarding::forward_log& entry) -> void
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -36,7 +37,7 @@
     state::request_handle request_;
 };
 
-/// The result of a connection that was tried.
+/// The result of a probe: whether bytes of an answer came back.
 struct endpoint_probed {
     state::endpoint_id endpoint_;
     bool is_reachable_{false};
@@ -101,10 +102,11 @@
     coordination::routing::refusal refusal_;
 };
 
-/// Opens a connection to an endpoint and closes it.
+/// Sends an endpoint a request that it runs no work for.
 struct probe_endpoint {
     state::endpoint_id endpoint_;
     state::network_address address_;
+    std::string path_;
 };
 
 using network_action = std::variant<forwarding::forward_command, cancel_attempt, release_attempt,
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -3,6 +3,7 @@
 #include "front/network_worker.hpp"
 
 #include "platform/caller_codec.hpp"
+#include "platform/endpoint_codec.hpp"
 #include "state/error.hpp"
 #include "state/invariant.hpp"
 #include "state/overloaded.hpp"
@@ -35,8 +36,8 @@
     return {.address_ = settings.probe_address_, .max_connections_ = max_probe_connections};
 }
 
-/// Connections within a region open within a few milliseconds.
-constexpr auto probe_timeout = state::duration{std::chrono::milliseconds{200}};
+/// Connections within a region open within a few milliseconds, and endpoints answer probes beside their work.
+constexpr auto probe_timeout = state::duration{std::chrono::milliseconds{300}};
 
 /// Between reports of the same stall, since an endpoint that accepts the stream may appear meanwhile.
 constexpr auto stall_report_interval = state::duration{std::chrono::milliseconds{500}};
@@ -225,7 +226,8 @@
 
 auto network_worker::probe(probe_endpoint action) -> http::awaitable<void>
 {
-    const auto is_reachable = co_await client_.is_reachable(action.address_, probe_timeout);
+    const auto is_reachable =
+        co_await client_.answers(action.address_, platform::probe_request(action.path_), probe_timeout);
     post_to_decision(endpoint_probed{.endpoint_ = action.endpoint_, .is_reachable_ = is_reachable});
 }
 
--- a/tests/world/cut_off_fleet.hpp
+++ b/tests/world/cut_off_fleet.hpp
@@ -21,6 +21,12 @@
     hang,
     /// Open connections live on, and new ones are refused.
     live_on,
+    /// Open connections fall silent; new ones are accepted and carry nothing.
+    accept_silent,
+    /// Open connections are reset; new ones are accepted, and reset once a request was sent.
+    accept_reset,
+    /// Requests arrive and run, on new connections too, but no answer comes back.
+    answers_lost,
 };
 
 /// Parameters of a fleet of which some instances are cut off from endpoints.
@@ -61,6 +67,8 @@
     std::int64_t reported_crashes_{0};
     /// Requests passed on to another instance.
     std::int64_t passed_on_{0};
+    /// Bad answers that instances which were cut off held against the version; it is sound.
+    std::int64_t bad_answers_{0};
 };
 
 /// Forward engines of which some lose their links to the endpoints, in virtual time.
@@ -103,6 +111,7 @@
     /// Whether a request that arrives then counts as one after the cut.
     auto is_late(state::time_point time) const -> bool;
     auto cut_links() -> void;
+    auto count_bad_answers() -> void;
     auto dispatch(std::size_t where, const coordination::forwarding::forward_command& command) -> void;
     auto end_attempt(std::size_t number, coordination::forwarding::forward_outcome outcome) -> void;
     auto cancel(std::size_t where, state::attempt_handle handle) -> void;
--- a/utilities/fault_proxy/proxied_route.cpp
+++ b/utilities/fault_proxy/proxied_route.cpp
@@ -41,12 +41,14 @@
     for (const auto& [name, fault] :
          {std::pair{"none", none}, std::pair{"delay", delay}, std::pair{"cut", cut},
           std::pair{"silence", silence}, std::pair{"reset", reset}, std::pair{"refuse", refuse},
-          std::pair{"refuse_new", refuse_new}}) {
+          std::pair{"refuse_new", refuse_new}, std::pair{"accept_silent", accept_silent},
+          std::pair{"accept_reset", accept_reset}}) {
         if (text == name)
             return fault;
     }
     throw state::error{state::error_kind::invalid_request, "There is no such fault.",
-                       "Choose none, delay, cut, silence, reset, refuse or refuse_new."};
+                       "Choose none, delay, cut, silence, reset, refuse, refuse_new, accept_silent or "
+                       "accept_reset."};
 }
 
 proxied_route::proxied_route(asio::io_context& context, const state::network_address& listen,
@@ -65,9 +67,10 @@
     fault_ = fault;
     set_listening(fault != route_fault::refuse && fault != route_fault::refuse_new);
     for (const auto& item : connections_) {
-        if (fault == route_fault::silence)
+        if (fault == route_fault::silence || fault == route_fault::accept_silent)
             item->is_silent_ = true;
-        if (fault == route_fault::reset || fault == route_fault::refuse) {
+        if (fault == route_fault::reset || fault == route_fault::refuse ||
+            fault == route_fault::accept_reset) {
             reset(item->caller_);
             reset(item->target_);
         }
@@ -102,6 +105,10 @@
 
 auto proxied_route::serve(connection_pointer item) -> awaitable<void>
 {
+    if (fault_ == route_fault::accept_silent || fault_ == route_fault::accept_reset) {
+        co_await hold(std::move(item));
+        co_return;
+    }
     auto fault = boost::system::error_code{};
     co_await item->target_.async_connect(transport::http::to_socket_address(target_),
                                          asio::redirect_error(asio::use_awaitable, fault));
@@ -115,6 +122,19 @@
     asio::co_spawn(context_, pass_on(std::move(item), true), asio::detached);
 }
 
+auto proxied_route::hold(connection_pointer item) -> awaitable<void>
+{
+    auto portion = std::array<char, portion_size>{};
+    auto fault = boost::system::error_code{};
+    while (!fault && fault_ != route_fault::accept_reset)
+        co_await item->caller_.async_read_some(asio::buffer(portion),
+                                               asio::redirect_error(asio::use_awaitable, fault));
+    if (!fault)
+        co_await item->caller_.async_read_some(asio::buffer(portion),
+                                               asio::redirect_error(asio::use_awaitable, fault));
+    reset(item->caller_);
+}
+
 auto proxied_route::pass_on(connection_pointer item, bool is_answer) -> awaitable<void>
 {
     auto& from = is_answer ? item->target_ : item->caller_;
--- a/utilities/fault_proxy/proxied_route.hpp
+++ b/utilities/fault_proxy/proxied_route.hpp
@@ -28,6 +28,10 @@
     refuse,
     /// New connections are refused until the fault ends.
     refuse_new,
+    /// Connections that are open now stay silent for good; new ones are accepted and carry nothing.
+    accept_silent,
+    /// Connections that are open now are reset; new ones are accepted, and reset at their first bytes.
+    accept_reset,
 };
 
 /// Throws error of kind invalid_request for anything else.
@@ -60,6 +64,8 @@
     auto accept() -> transport::http::awaitable<void>;
     auto set_listening(bool is_listening) -> void;
     auto serve(connection_pointer item) -> transport::http::awaitable<void>;
+    /// Keeps a connection without its target until a fault of this kind or the connection ends.
+    auto hold(connection_pointer item) -> transport::http::awaitable<void>;
     /// Passes bytes on in one direction until an end is closed.
     auto pass_on(connection_pointer item, bool is_answer) -> transport::http::awaitable<void>;
     auto wait_while_held(const connection& item, bool is_answer) -> transport::http::awaitable<void>;
