forwarding: Do not pass on a request that may run once from a silent instance

A request that may run once was passed on to a second instance when the first one did not answer within a second, although the first one may have sent it to an endpoint: it ran twice. This is the fault that operators of similar systems met, running work of an instance that is only silent started elsewhere.

Cause: sweep_late_relays() asked may_run_again() while the attempt was running; may_have_run_ is set only once it was abandoned. The instance is still left out for other requests.

--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -524,7 +524,9 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::may_run_again(const entry& item, forward_outcome outcome) -> bool
 {
-    const auto is_harmless = item.route_.is_repeatable() || !item.may_have_run_;
+    // A silent attempt may be running.
+    const auto may_have_run = item.may_have_run_ || outcome == forward_outcome::silent;
+    const auto is_harmless = item.route_.is_repeatable() || !may_have_run;
     if (!is_harmless || item.attempts_ >= item.route_.max_attempts_)
         return false;
     if (pause_left(item) > state::duration::zero())
--- a/libraries/coordination/forwarding/forward_engine_relays.hpp
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -67,15 +67,15 @@
     for (const auto& [handle, item] : entries_) {
         const auto is_waiting =
             item.attempt_ && item.attempt_->is_relayed() && !item.attempt_->first_byte_time_;
-        if (is_waiting &&
-            now - item.attempt_->started_ > std::max(item.route_.latency_objective_, min_wait) &&
-            may_run_again(item, forward_outcome::silent))
+        if (is_waiting && now - item.attempt_->started_ > std::max(item.route_.latency_objective_, min_wait))
             late.push_back(handle);
     }
     for (const auto handle : late) {
         auto& item = entries_.at(handle);
         const auto running = *item.attempt_;
         relay_peers_.record_failure(running.relay_, now);
+        if (!may_run_again(item, forward_outcome::silent))
+            continue;
         const auto can_relay = relay_peers_.choose(settings_.data_centre_, item.relays_, now, 0).has_value();
         if (!can_relay || !budgets_[running.service_].try_spend())
             continue;
