--- a/meta/run_tests.sh
+++ b/meta/run_tests.sh
@@ -65,6 +65,9 @@
 meta/write_fault_matrix.sh "$build" | diff - docs/FAULT-MATRIX.md >/dev/null
 count docs/fault-matrix "$?"
 
+meta/check_production.sh
+count deploy/production "$?"
+
 for script in tests/processes/*.sh; do
     [ -e "$script" ] || continue
     bash "$script" "$build" >"$build/test.log" 2>&1
