membership: Fetch changes of the store that follow each other together

A watcher now waits for a tenth of the time in which a change must be in force, 0.5 s at most, and gets what came meanwhile at once. The pause before a check takes a missing change for a fault of the watch is longer by as much.

currency/changes_that_follow_each_other_are_fetched_together failed before: 51 calls for 240 endpoints that register within 5 s, whatever the limit; now 26 with a limit of 2 s and 14 with 4 s.

--- a/libraries/coordination/membership/currency_limits.hpp
+++ b/libraries/coordination/membership/currency_limits.hpp
@@ -2,6 +2,8 @@
 
 #include "state/units.hpp"
 
+#include <algorithm>
+
 namespace buckthorndale::coordination::membership {
 
 /// The times that keep a copy of the store's objects current. All are parts of the time within which a change
@@ -26,6 +28,16 @@
     /// A watcher that takes longer than that, by more than the margin, is abandoned.
     auto follower_margin() const -> state::duration { return part(0.2); }
 
+    /// How long a watcher waits after a change before it asks for the next ones, which it gets together.
+    ///
+    /// Load pattern: hundreds of endpoints register or leave one after the other within seconds, and each
+    /// change would end the watch of every watcher.
+    auto batching_delay() const -> state::duration
+    {
+        constexpr auto max_delay = state::duration{std::chrono::milliseconds{500}};
+        return std::min(part(0.1), max_delay);
+    }
+
 private:
     auto part(double fraction) const -> state::duration
     {
--- a/services/front/control_worker_currency.cpp
+++ b/services/front/control_worker_currency.cpp
@@ -17,9 +17,9 @@
 
 /// Interval at which a kind that must not be checked is looked at again.
 constexpr auto idle_interval = state::duration{std::chrono::milliseconds{100}};
-/// A change that a check finds may just be under way to this instance by its watch, which is sent 100 ms
-/// after a change.
-constexpr auto catch_up_time = state::duration{std::chrono::milliseconds{150}};
+/// A change that a check finds may just be under way to this instance by its watch, which is sent a while
+/// after the change before.
+constexpr auto catch_up_margin = state::duration{std::chrono::milliseconds{50}};
 constexpr auto expiry_interval = state::duration{std::chrono::milliseconds{100}};
 /// A longer time between two runs of expire_kinds() means that this process was paused, and that datagrams
 /// may be old.
@@ -36,7 +36,7 @@
         }
         const auto hinted = std::exchange(kind.hinted_, {});
         if (hinted > kind.mirror_.position()) {
-            co_await sleep(catch_up_time);
+            co_await sleep(kind.currency_.limits().batching_delay() + catch_up_margin);
             if (kind.mirror_.position() < hinted)
                 co_await check_now(kind);
             continue;
@@ -70,7 +70,7 @@
     if (kind.is_lost_ || kind.lost_since_ != lost_before)
         co_return;
     if (reason.empty() && !kind.mirror_.includes(changes))
-        co_await sleep(catch_up_time);
+        co_await sleep(kind.currency_.limits().batching_delay() + catch_up_margin);
     if (reason.empty() && !kind.mirror_.includes(changes))
         reason = "the watch did not bring a change";
     if (kind.is_lost_ || kind.lost_since_ != lost_before)
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -26,8 +26,6 @@
 
 /// A watch is paid as one call however long it waits. TCP keep-alive detects dead connections.
 constexpr auto watch_timeout = state::duration{std::chrono::seconds{15}};
-/// Changes within this time are fetched together.
-constexpr auto batching_delay = state::duration{std::chrono::milliseconds{100}};
 /// Interval at which a loop that must not read the store checks whether it may.
 constexpr auto poll_interval = state::duration{std::chrono::milliseconds{50}};
 /// Pause before a follower queries its watchers again after none confirmed that it reaches the store.
@@ -206,7 +204,7 @@
         if (changes.changes_.empty())
             continue;
         apply_changes(kind);
-        co_await sleep(batching_delay);
+        co_await sleep(kind.currency_.limits().batching_delay());
         if (kind.is_lost_)
             throw store_error{store_fault::history_gone, "the objects must be read anew"};
     }
--- a/tests/coordination/currency.cpp
+++ b/tests/coordination/currency.cpp
@@ -148,6 +148,31 @@
 }
 
 /// Guards against an instance that goes on taking its copy for current after its last confirmation.
+/// Guards against a call of every watcher for each of hundreds of endpoints that register one by one.
+BOOST_AUTO_TEST_CASE(changes_that_follow_each_other_are_fetched_together)
+{
+    constexpr auto endpoints = 240;
+    constexpr auto start_time = state::duration{seconds{5}};
+    for (const auto limit : {state::duration{seconds{2}}, state::duration{seconds{4}}}) {
+        const auto limits = membership::currency_limits{limit};
+        auto time = state::duration{0};
+        auto calls = 0;
+        auto longest_wait = state::duration{0};
+        for (auto known = 0; known < endpoints; ++calls) {
+            // The watch returns with the next change, and the pause follows.
+            const auto next = start_time * known / endpoints;
+            longest_wait = std::max(longest_wait, time - next);
+            time = std::max(time, next);
+            while (known < endpoints && start_time * known / endpoints <= time)
+                ++known;
+            time += limits.batching_delay();
+        }
+        BOOST_TEST_MESSAGE("limit " << limit.count() << " us: " << calls << " calls");
+        BOOST_TEST(calls * limit <= 12 * start_time);
+        BOOST_TEST((longest_wait <= limit / 8));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_copy_that_is_not_confirmed_is_not_current)
 {
     auto copy = membership::currency{membership::currency_limits{max_delay}};
