forwarding: Keep requests with short prefixes in their data centre

Each prompt went to the endpoint that its prefix hashes to among all data centres, five of six times into another one.

A prefix that saves less than 30 ms without load is now looked for in the own data centre only, while endpoints there accept requests.

forwarding/requests_with_short_prefixes_stay_in_their_data_centre: written with the change; of 60 keys over 30 go elsewhere without the rule.

--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -228,8 +228,8 @@
 auto endpoint_pool::choose_by_affinity(const std::vector<const entry*>& usable, const pool_query& query,
                                        state::time_point now) -> pool_choice
 {
-    // Tried before, ejected, slow. Ties are broken by a hash that is the same on every router.
-    using penalties = std::tuple<bool, bool, bool>;
+    // Tried before, ejected, slow, far. Ties are broken by a hash that is the same on every router.
+    using penalties = std::tuple<bool, bool, bool, bool>;
 
     struct candidate {
         penalties penalties_;
@@ -244,7 +244,9 @@
     for (const auto* known : usable) {
         const auto& id = known->endpoint_.id_;
         ranked.push_back({.penalties_ = {query.excluded_.contains(id), is_ejected(*known, now),
-                                         decayed_objective_ratio(*known, now) > bound},
+                                         decayed_objective_ratio(*known, now) > bound,
+                                         query.stays_in_data_centre_ &&
+                                             known->endpoint_.data_centre_ != query.data_centre_},
                           .hash_ = state::stable_hash(id.text(), affinity),
                           .entry_ = known});
     }
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -27,6 +27,8 @@
     std::string affinity_;
     /// The router's own data centre.
     state::data_centre_id data_centre_;
+    /// Whether a cached prefix in another data centre is worth less than the bytes to send there.
+    bool stays_in_data_centre_{false};
     std::set<state::endpoint_id> excluded_;
     /// The time to first byte at an endpoint with an empty queue.
     state::duration work_{0};
@@ -218,6 +220,9 @@
                              state::time_point now, std::uint64_t random) -> const entry*;
     /// The preferred endpoint of the affinity key, or another one where the lower delay is worth the cache
     /// miss.
+    ///
+    /// Load pattern: hundreds of endpoints in several data centres, and short prefixes, which take less time
+    /// to read again than the bytes between data centres are worth.
     static auto choose_by_affinity(const std::vector<const entry*>& usable, const pool_query& query,
                                    state::time_point now) -> pool_choice;
     /// Endpoints with a higher objective ratio than this rank behind the others.
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -135,6 +135,8 @@
         affinity = request.prompt_[request.prompt_.size() - 2].id_;
     else if (!request.prompt_.empty())
         affinity = request.prompt_.front().id_;
+    // A cached prefix elsewhere that saves less is not worth the bytes between data centres.
+    constexpr auto min_time_saved_elsewhere = state::duration{std::chrono::milliseconds{30}};
     const auto forecast = [&](std::int64_t units) {
         return forecast_.expected(item.route_.name_, model, units, default_token_time(item.route_, model));
     };
@@ -142,6 +144,9 @@
             .version_ = version,
             .affinity_ = std::move(affinity),
             .data_centre_ = settings_.data_centre_,
+            .stays_in_data_centre_ = !model.is_empty() && !item.route_.models_.empty() &&
+                                     default_token_time(item.route_, model) * shared_prompt_length(request) <
+                                         min_time_saved_elsewhere,
             .excluded_ = item.excluded_,
             .work_ = forecast(prompt_length(request)),
             .shared_work_ = forecast(shared_prompt_length(request))};
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -223,6 +223,43 @@
     BOOST_TEST(pool.choose(query, at(20s), 1)->endpoint_ == preferred);
 }
 
+/// Guards against bodies that are sent to another data centre for the sake of a short cached prefix.
+BOOST_AUTO_TEST_CASE(requests_with_short_prefixes_stay_in_their_data_centre)
+{
+    auto pool = forwarding::endpoint_pool{};
+    auto listed = std::vector<state::registered_endpoint>{};
+    for (auto number = 0; number < 24; ++number) {
+        auto item = endpoint("e" + std::to_string(number));
+        item.data_centre_ = state::data_centre_id{"dc-" + std::to_string(number % 6)};
+        listed.push_back(std::move(item));
+    }
+    pool.update(listed);
+    auto query = forwarding::pool_query{.service_ = service,
+                                        .data_centre_ = state::data_centre_id{"dc-2"},
+                                        .stays_in_data_centre_ = true,
+                                        .work_ = 300ms,
+                                        .shared_work_ = 20ms};
+    const auto data_centre_of = [&pool](const state::endpoint_id& id) {
+        return pool.find(id)->data_centre_.text();
+    };
+    auto far = 0;
+    for (auto key = 0; key < 60; ++key) {
+        query.affinity_ = std::to_string(key);
+        query.stays_in_data_centre_ = true;
+        BOOST_TEST(data_centre_of(pool.choose(query, at(1s), 1)->endpoint_) == "dc-2");
+        query.stays_in_data_centre_ = false;
+        far += data_centre_of(pool.choose(query, at(1s), 1)->endpoint_) == "dc-2" ? 0 : 1;
+    }
+    BOOST_TEST(far > 30);
+    // The own data centre's endpoints are out of reach.
+    query.stays_in_data_centre_ = true;
+    for (const auto& item : listed) {
+        if (item.data_centre_ == query.data_centre_)
+            pool.mark_unreachable(item.id_, at(1s));
+    }
+    BOOST_TEST(data_centre_of(pool.choose(query, at(1s), 1)->endpoint_) != "dc-2");
+}
+
 BOOST_AUTO_TEST_CASE(what_other_routers_sent_to_an_endpoint_counts)
 {
     auto pool = forwarding::endpoint_pool{};
