forwarding: Log what decided that a poor answer was given out

The line of a release named the confidence alone. It now also gives the largest model's expected time and the queue before it, which decide whether a better answer is asked for. The endpoint for the largest model is chosen once for the decision and the dispatch, instead of twice.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -282,8 +282,6 @@
     auto start_next_attempt(entry& item, const std::string& reason) -> void;
     auto query_for(const entry& item, const state::service_name& service, const state::model_name& model)
         -> pool_query;
-    /// Expected time from now until the largest model's response headers.
-    auto expected_time_of_largest(const entry& item) -> state::duration;
     /// Subtracts the attempt's pending work from its endpoint.
     auto remove_pending_work(running_attempt& attempt) -> void;
     /// Detaches the attempt from its request and its endpoint.
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -12,6 +12,11 @@
 
 namespace buckthorndale::coordination::forwarding {
 
+inline auto milliseconds_text(state::duration time) -> std::string
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::dispatch(entry& item, const pool_choice& choice,
                                                    const std::string& reason) -> void
@@ -50,8 +55,7 @@
     log(item, "dispatch",
         reason + ", version " + known->version_.text() + ", window " +
             std::to_string(static_cast<int>(windows_[known->service_].size())) + ", in flight " +
-            std::to_string(pool_.in_flight(known->service_)) + ", queue " +
-            std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(choice.queue_).count()) +
+            std::to_string(pool_.in_flight(known->service_)) + ", queue " + milliseconds_text(choice.queue_) +
             " ms");
     port_.dispatch(
         forward_command{.request_ = item.handle_,
@@ -111,21 +115,26 @@
         record_time(*item, attempt, roll_out::time_measure::first_byte, *attempt.first_byte_time_);
     if (!attempt.is_held_)
         return;
+    const auto query = query_for(*item, pick_service(*item), item->route_.models_.back());
+    const auto choice = pool_.choose(query, now, random_.next());
     const auto better = escalation_model(item->route_, item->model_,
                                          {.confidence_ = headers.confidence_.value_or(100),
                                           .attempts_left_ = item->route_.max_attempts_ - item->attempts_,
                                           .since_arrival_ = now - item->arrived_,
                                           .time_left_ = item->deadline_ - now,
-                                          .expected_ = expected_time_of_largest(*item)});
+                                          .expected_ = choice ? choice->expected_ : state::duration::max()});
     if (!better) {
         attempt.is_held_ = false;
         item->is_model_settled_ = true;
-        log(*item, "release", "confidence " + std::to_string(headers.confidence_.value_or(100)));
+        log(*item, "release",
+            "confidence " + std::to_string(headers.confidence_.value_or(100)) +
+                ", the largest model's time " +
+                (choice ? milliseconds_text(choice->expected_) + " ms, queue " +
+                              milliseconds_text(choice->queue_) + " ms"
+                        : std::string{"unknown"}));
         port_.release(item->handle_, attempt.handle_);
         return;
     }
-    const auto query = query_for(*item, pick_service(*item), *better);
-    const auto choice = pool_.choose(query, clock_.now(), random_.next());
     const auto can_escalate = choice && !pool_.is_ejected(choice->endpoint_, now) &&
                               budgets_[attempt.service_].has_retry() && !is_blocked(*item) &&
                               !item->is_trial_;
@@ -248,15 +257,6 @@
     port_.announce_leaving(*news);
 }
 
-template <time::clock_source Clock, time::random_source Random, forward_port Port>
-auto forward_engine<Clock, Random, Port>::expected_time_of_largest(const entry& item) -> state::duration
-{
-    const auto& largest = item.route_.models_.back();
-    const auto choice =
-        pool_.choose(query_for(item, item.last_service_, largest), clock_.now(), random_.next());
-    return choice ? choice->expected_ : state::duration::max();
-}
-
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::attempt_ended(const forward_attempt_result& result) -> void
 {
