platform: Decode a registration only when its object changes

One cause: a change of one endpoint reaches 295 instances, each of which decoded all 246 registrations again.

endpoint_reader keeps what it has read by name and revision, and starts anew in another era of the store.

--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -165,15 +165,10 @@
 
 auto control_worker::apply_endpoints() -> void
 {
-    auto endpoints = std::vector<state::registered_endpoint>{};
-    for (const auto& [name, object] : endpoints_.mirror_.objects()) {
-        try {
-            endpoints.push_back(platform::read_endpoint(object));
-        } catch (const state::error& fault) {
-            log_.warn("invalid endpoint skipped name=" + name + " reason=\"" + fault.what() + "\"");
-        }
-    }
-    directory_.list(endpoints, clock_.now());
+    const auto read = endpoint_reader_.read(endpoints_.mirror_.objects(), endpoints_.mirror_.position().era_);
+    for (const auto& item : read.invalid_)
+        log_.warn("invalid endpoint skipped name=" + item.name_ + " reason=\"" + item.reason_ + "\"");
+    directory_.list(read.endpoints_, clock_.now());
     publish_endpoints();
 }
 
--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -10,6 +10,7 @@
 #include "front/front_settings.hpp"
 #include "front/peer_link.hpp"
 #include "front/store_gauge.hpp"
+#include "platform/endpoint_reader.hpp"
 #include "platform/object_mirror.hpp"
 #include "platform/store_client.hpp"
 #include "transport/http/client.hpp"
@@ -175,6 +176,7 @@
     followed_kind configuration_;
     followed_kind endpoints_;
     followed_kind roll_outs_;
+    platform::endpoint_reader endpoint_reader_;
     forwarding::endpoint_directory directory_;
     forwarding::roll_out_directory orders_;
     boost::asio::steady_timer directory_timer_;
