front: Wake up less often while there is nothing to do

An idle instance that watches the store made 90 calls of epoll_wait and 138 of timerfd_settime a second (strace), and one that follows others 60 more wake-ups: the decision thread ticked every 20 ms, and each kind of object was looked at every 50 to 100 ms whether it may be read.

The decision thread now ticks every 80 ms, and every 20 ms while requests wait, failures are undecided, endpoints are out of reach or limits are stated. Loops that may not read the store look again after 250 ms.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -162,9 +162,15 @@
     auto attempt_stalled(const stalled_attempt& stall) -> void;
     auto caller_left(state::request_handle handle) -> void;
 
-    /// Processes timeouts and queued requests; to be called about every 20 ms.
+    /// Processes timeouts and queued requests; to be called at least every 100 ms, and within 20 ms while
+    /// needs_prompt_tick().
     auto tick() -> void;
 
+    /// Whether requests wait, failures are undecided, endpoints are to be probed, or some name a limit.
+    ///
+    /// Load pattern: hundreds of instances with a few requests each, whose timers cost more than their work.
+    auto needs_prompt_tick() const -> bool;
+
     auto begin_stop() -> void
     {
         if (!stop_began_)
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -373,6 +373,16 @@
                               .generation_ = table_->generation_});
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::needs_prompt_tick() const -> bool
+{
+    const auto is_waiting = [](const auto& known) {
+        return known.second.waits_for_.has_value() || known.second.awaits_resumption_;
+    };
+    return !suspected_failures_.empty() || pool_.has_lost_endpoints() || pool_.has_stated_limits() ||
+           std::ranges::any_of(entries_, is_waiting);
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::sweep_expired(state::time_point now) -> void
 {
--- a/services/front/control_worker_currency.cpp
+++ b/services/front/control_worker_currency.cpp
@@ -15,8 +15,10 @@
 
 namespace {
 
-/// Interval at which a kind that must not be checked is looked at again.
-constexpr auto idle_interval = state::duration{std::chrono::milliseconds{100}};
+/// Interval at which a kind that must not be checked is looked at again, by an instance that watches the
+/// store and by another one.
+constexpr auto retry_interval = state::duration{std::chrono::milliseconds{100}};
+constexpr auto idle_interval = state::duration{std::chrono::milliseconds{250}};
 /// A change that a check finds may just be under way to this instance by its watch, which is sent a while
 /// after the change before.
 constexpr auto catch_up_margin = state::duration{std::chrono::milliseconds{50}};
@@ -31,7 +33,7 @@
 {
     while (true) {
         if (!watches_store() || kind.is_lost_) {
-            co_await sleep(idle_interval);
+            co_await sleep(watches_store() ? retry_interval : idle_interval);
             continue;
         }
         const auto hinted = std::exchange(kind.hinted_, {});
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -28,6 +28,8 @@
 constexpr auto watch_timeout = state::duration{std::chrono::seconds{15}};
 /// Interval at which a loop that must not read the store checks whether it may.
 constexpr auto poll_interval = state::duration{std::chrono::milliseconds{50}};
+/// The same once it is known which instances watch the store; each wake-up of hundreds of instances counts.
+constexpr auto idle_interval = state::duration{std::chrono::milliseconds{250}};
 /// Pause before a follower queries its watchers again after none confirmed that it reaches the store.
 constexpr auto watcher_retry_interval = state::duration{std::chrono::milliseconds{100}};
 /// How long an instance watches the store itself after no watcher answered.
@@ -98,7 +100,7 @@
         // While the store is unreachable, only the configuration is retried, to save calls.
         const auto waits_for_other = &kind != &configuration_ && configuration_.is_lost_;
         if (!may_begin || !watches_store() || waits_for_other) {
-            co_await sleep(poll_interval);
+            co_await sleep(may_begin && !watches_store() ? idle_interval : poll_interval);
             continue;
         }
         auto has_failed = false;
@@ -128,7 +130,7 @@
         if (!watches_store() && !waits_for_other && fallback_.may_ask_store(clock_.now()))
             co_await try_watching_store();
         else
-            co_await sleep(watcher_retry_interval);
+            co_await sleep(watches_store() ? idle_interval : watcher_retry_interval);
     }
 }
 
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -9,12 +9,12 @@
 namespace {
 
 /// The precision with which deadlines are kept.
-constexpr auto tick_interval = std::chrono::milliseconds{20};
-/// Roll-out reports are sent once a second.
-constexpr auto ticks_per_report = std::uint64_t{50};
-
-/// Work reports are sent every 240 ms, since the work at endpoints changes within a few hundred milliseconds.
-constexpr auto ticks_per_work_report = std::uint64_t{12};
+constexpr auto tick_interval = state::duration{std::chrono::milliseconds{80}};
+/// The precision while requests wait or endpoints are probed.
+constexpr auto prompt_tick_interval = state::duration{std::chrono::milliseconds{20}};
+constexpr auto report_interval = state::duration{std::chrono::seconds{1}};
+/// The work at endpoints changes within a few hundred milliseconds.
+constexpr auto work_report_interval = state::duration{std::chrono::milliseconds{240}};
 
 auto engine_settings(const front_settings& settings) -> forwarding::forward_settings
 {
@@ -107,12 +107,16 @@
 {
     engine_.tick();
     update_gauge();
-    if (++ticks_ % ticks_per_report == 0) {
+    const auto now = clock_.now();
+    if (now >= next_report_) {
+        next_report_ = now + report_interval;
         report_roll_outs();
         repeat_news();
     }
-    if (ticks_ % ticks_per_work_report == 0)
+    if (now >= next_work_report_) {
+        next_work_report_ = now + work_report_interval;
         report_work();
+    }
 }
 
 auto decision_worker::report_roll_outs() -> void
@@ -160,6 +164,8 @@
 {
     gauge_.publish(engine_.is_ready(), engine_.size());
     limited_endpoints_.store(engine_.limited_endpoints());
+    if (engine_.needs_prompt_tick())
+        ticker_.hasten(prompt_tick_interval);
 }
 
 } // namespace buckthorndale::services::front
--- a/services/front/decision_worker.hpp
+++ b/services/front/decision_worker.hpp
@@ -67,7 +67,8 @@
     transport::ring::bounded_ring<control_event> from_control_;
     transport::worker::worker_gauge gauge_;
     std::atomic<std::size_t> limited_endpoints_{0};
-    std::uint64_t ticks_{0};
+    state::time_point next_report_{};
+    state::time_point next_work_report_{};
     /// Whether the last work report had entries; after that one empty report is sent.
     bool has_reported_work_{false};
 };
