membership: Let followers ask less often while nothing changes

A watcher answered a follower after 0.15 of the time in which a change must be in force while there were no changes: 277 followers asked for three kinds each 0.6 s, 1,400 exchanges a second. It now waits for 0.25. A check is due after 0.45 at the latest, so that what a follower knows is confirmed within 0.7 of the time, and 0.85 is the bound.

--- a/libraries/coordination/membership/currency_limits.hpp
+++ b/libraries/coordination/membership/currency_limits.hpp
@@ -23,7 +23,7 @@
     auto max_age() const -> state::duration { return part(0.85); }
 
     /// How long a watcher delays its answer to a follower while there are no updates.
-    auto follower_wait() const -> state::duration { return part(0.15); }
+    auto follower_wait() const -> state::duration { return part(0.25); }
 
     /// A watcher that takes longer than that, by more than the margin, is abandoned.
     auto follower_margin() const -> state::duration { return part(0.2); }
