--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -182,6 +182,18 @@
     BOOST_TEST(port_.finished_.size() == 1U);
 }
 
+/// Guards against requests that wait for a tick which an idle engine puts off.
+BOOST_AUTO_TEST_CASE(an_engine_asks_for_prompt_ticks_while_something_waits)
+{
+    BOOST_TEST(!engine_.needs_prompt_tick());
+    send_request(1);
+    receive_headers(90);
+    BOOST_TEST(!engine_.needs_prompt_tick());
+    report_stall("3");
+    end_attempt(forward_outcome::broken, "3");
+    BOOST_TEST(engine_.needs_prompt_tick());
+}
+
 BOOST_AUTO_TEST_CASE(a_good_answer_is_released_at_once)
 {
     send_request(1);
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -1,6 +1,7 @@
 #include "coordination/time/seeded_random.hpp"
 #include "platform/caller_codec.hpp"
 #include "platform/endpoint_codec.hpp"
+#include "platform/endpoint_reader.hpp"
 #include "platform/names.hpp"
 #include "platform/object_codec.hpp"
 #include "protocol/json/text.hpp"
@@ -27,6 +28,7 @@
         "resumable": true, "trafficSplit": [ { "service": "x", "weight": 90 }, { "service": "y", "weight": 10 } ] },
       { "name": "r2", "host": "h", "pathPrefix": "/a/b/", "kind": "non_idempotent", "service": "z", "anonymous": true }
     ],
+    "services": [ { "name": "x", "healthPath": "/live", "engine": { "slots": 6 } }, { "name": "y", "healthPath": "/live" } ],
     "limits": { "maxHeaderBytes": 100, "maxBodyBytes": 200, "headerTimeoutMs": 300, "idleTimeoutMs": 400 },
     "tenants": [ { "name": "t", "apiKeys": [ "k1", "k2" ], "priority": 2 } ]
   } })";
@@ -89,6 +91,29 @@
     BOOST_TEST(table.find_route("h", "/a/c")->name_ == "r1");
     BOOST_CHECK(table.find_route("h", "/c/") == nullptr);
     BOOST_CHECK(table.find_route("other", "/a/") == nullptr);
+    // Model endpoints report their state without a slot; other ones answer their health check.
+    BOOST_TEST(table.probe_path(state::service_name{"x"}) == "/report");
+    BOOST_TEST(table.probe_path(state::service_name{"y"}) == "/live");
+    BOOST_TEST(table.probe_path(state::service_name{"unknown"}) == "/");
+}
+
+/// Guards against registrations of an earlier era or revision that are taken for the current ones.
+BOOST_AUTO_TEST_CASE(a_registration_is_read_again_when_its_object_or_the_era_changes)
+{
+    auto reader = platform::endpoint_reader{};
+    auto objects = std::map<std::string, Json::Value>{{"e1", value(endpoint_text)}, {"bad", value("{}")}};
+    auto read = reader.read(objects, state::store_era{1});
+    BOOST_REQUIRE(read.endpoints_.size() == 1U);
+    BOOST_TEST(read.endpoints_.front().is_draining_);
+    BOOST_TEST(read.invalid_.size() == 1U);
+    objects["e1"]["spec"]["state"] = "ready";
+    BOOST_TEST(reader.read(objects, state::store_era{1}).endpoints_.front().is_draining_);
+    objects["e1"]["metadata"]["revision"] = 10;
+    BOOST_TEST(!reader.read(objects, state::store_era{1}).endpoints_.front().is_draining_);
+    objects["e1"]["spec"]["state"] = "draining";
+    BOOST_TEST(reader.read(objects, state::store_era{2}).endpoints_.front().is_draining_);
+    objects.erase("e1");
+    BOOST_TEST(reader.read(objects, state::store_era{2}).endpoints_.empty());
 }
 
 BOOST_AUTO_TEST_CASE(reads_an_endpoint)
--- a/tests/transport/silent_peers.cpp
+++ b/tests/transport/silent_peers.cpp
@@ -130,6 +130,32 @@
     BOOST_TEST(failed == 1);
 }
 
+/// Guards against a connection that was accepted on behalf of a host which is out of reach.
+BOOST_AUTO_TEST_CASE(a_peer_that_accepts_and_sends_nothing_does_not_answer)
+{
+    auto context = asio::io_context{};
+    // The system accepts for a listener that nobody serves.
+    auto listener = asio::ip::tcp::acceptor{context, {asio::ip::address_v4::loopback(), 0}};
+    const auto silent =
+        state::network_address{.host_ = "127.0.0.1", .port_ = listener.local_endpoint().port()};
+    auto server = silenced_server{context};
+    const auto answering = server.address();
+    auto client = http::client{context};
+    auto answers = std::array<int, 2>{};
+    const auto ask = [&](const state::network_address& peer, int& answer) {
+        asio::co_spawn(
+            context, client.answers(peer, http::request{http::beast::http::verb::get, "/", 11}, 200ms),
+            [&answer](const std::exception_ptr& fault, bool found) { answer = !fault && found ? 1 : -1; });
+    };
+    ask(silent, answers[0]);
+    ask(answering, answers[1]);
+    context.run_for(1s);
+    server.stop();
+    context.run_for(100ms);
+    BOOST_TEST(answers[0] == -1);
+    BOOST_TEST(answers[1] == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_survives_a_peer_that_reads_nothing_for_some_seconds)
 {
     auto context = asio::io_context{};
