--- a/tests/coordination/cut_off_instances.cpp
+++ b/tests/coordination/cut_off_instances.cpp
@@ -90,6 +90,35 @@
     }
 }
 
+/// Guards against a data centre that does not serve alone while it is cut off, or finds out endpoint by
+/// endpoint.
+BOOST_AUTO_TEST_CASE(a_data_centre_that_is_cut_off_serves_with_its_own_endpoints)
+{
+    for (auto seed = std::uint64_t{1}; seed <= seed_count(6); ++seed) {
+        for (const auto kind : {link_cut::hang, link_cut::reset, link_cut::accept_silent}) {
+            const auto result = cut_off_fleet{
+                {.seed_ = seed,
+                 .instances_ = 120,
+                 .data_centres_ = 6,
+                 .endpoints_ = 96,
+                 .rate_ = 360,
+                 .kind_ = kind,
+                 .is_whole_data_centre_ = true,
+                 .cut_endpoints_ = 96,
+                 .keeps_own_endpoints_ =
+                     true}}.run();
+            BOOST_TEST_MESSAGE("kind " << static_cast<int>(kind) << ", seed " << seed << ": first seconds "
+                                       << result.early_answered_ << " of " << result.early_sent_ << ", later "
+                                       << result.cut_answered_ << " (" << result.cut_in_time_
+                                       << " in time) of " << result.cut_sent_);
+            BOOST_TEST(share(result.early_answered_, result.early_sent_) >= 0.9);
+            BOOST_TEST(share(result.cut_answered_, result.cut_sent_) >= 0.95);
+            BOOST_TEST(share(result.other_answered_, result.other_sent_) >= 0.98);
+            BOOST_TEST(result.repeated_runs_ == 0);
+        }
+    }
+}
+
 /// Guards against requests that wait for an instance which is suspended.
 BOOST_AUTO_TEST_CASE(a_suspended_instance_does_not_hold_what_is_passed_on_to_it)
 {
--- a/tests/world/cut_off_fleet.cpp
+++ b/tests/world/cut_off_fleet.cpp
@@ -122,12 +122,14 @@
 auto cut_off_fleet::run() -> cut_off_result
 {
     for (auto i = std::size_t{0}; i < plan_.endpoints_; ++i)
-        endpoints_.push_back({.id_ = state::endpoint_id{"e" + std::to_string(i)},
-                              .service_ = service,
-                              .address_ = {.host_ = "10.0.0.1", .port_ = static_cast<std::uint16_t>(i + 1)},
-                              .version_ = state::version_name{"v1"},
-                              .slots_ = 64,
-                              .registered_at_ = 1});
+        endpoints_.push_back(
+            {.id_ = state::endpoint_id{"e" + std::to_string(i)},
+             .service_ = service,
+             .address_ = {.host_ = "10.0.0.1", .port_ = static_cast<std::uint16_t>(i + 1)},
+             .data_centre_ = state::data_centre_id{"dc-" + std::to_string(i % plan_.data_centres_)},
+             .version_ = state::version_name{"v1"},
+             .slots_ = 64,
+             .registered_at_ = 1});
     for (auto i = std::size_t{0}; i < plan_.instances_; ++i)
         instances_.push_back(std::make_unique<instance>(*this, i));
     for (auto i = std::size_t{0}; i < plan_.instances_; ++i) {
@@ -210,7 +212,8 @@
 
 auto cut_off_fleet::is_cut(std::size_t where, std::size_t endpoint) const -> bool
 {
-    return is_cut_now_ && is_cut_instance(where) && endpoint < plan_.cut_endpoints_;
+    const auto is_own = plan_.keeps_own_endpoints_ && endpoint % plan_.data_centres_ == 0;
+    return is_cut_now_ && is_cut_instance(where) && endpoint < plan_.cut_endpoints_ && !is_own;
 }
 
 auto cut_off_fleet::is_late(state::time_point time) const -> bool
@@ -247,13 +250,26 @@
     const auto cut_at = started_ + plan_.cut_from_;
     if (now > cut_at + stable_window && now < cut_at + plan_.cut_for_)
         ++(is_cut_instance(where) ? result_.cut_sent_ : result_.other_sent_);
+    if (now > cut_at && now <= cut_at + stable_window && is_cut_instance(where))
+        ++result_.early_sent_;
     if (is_late(now))
         ++result_.late_sent_;
     instances_.at(where)->engine_.arrive(handle, {.id_ = state::request_id{std::to_string(handle.value())},
                                                   .host_ = "h",
                                                   .path_ = is_repeatable ? "/safe" : "/once",
                                                   .content_ = state::content_fingerprint{handle.value()},
-                                                  .time_allowed_ = 3s});
+                                                  .time_allowed_ = 3s,
+                                                  .prompt_ = prompt_of(handle)});
+}
+
+auto cut_off_fleet::prompt_of(state::request_handle handle) const -> std::vector<forwarding::prompt_part>
+{
+    constexpr auto subjects = std::uint64_t{200};
+    if (!plan_.has_shared_prompts_)
+        return {};
+    return {
+        {.id_ = "subject-" + std::to_string(handle.value() % subjects), .tokens_ = state::token_count{1000}},
+        {.id_ = std::to_string(handle.value()), .tokens_ = state::token_count{100}}};
 }
 
 auto cut_off_fleet::dispatch(std::size_t where, const forwarding::forward_command& command) -> void
@@ -320,6 +336,7 @@
                                       .path_ = request.is_repeatable_ ? "/safe" : "/once",
                                       .content_ = state::content_fingerprint{command.request_.value()},
                                       .time_allowed_ = command.deadline_ - time_.now(),
+                                      .prompt_ = prompt_of(command.request_),
                                       .relayed_attempts_ = command.relayed_attempts_});
     });
 }
@@ -373,6 +390,8 @@
         ++(is_cut_here ? result_.cut_answered_ : result_.other_answered_);
         result_.cut_in_time_ += is_cut_here && time_.now() - arrived <= objective ? 1 : 0;
     }
+    if (arrived > cut_at && arrived <= cut_at + stable_window && is_cut_instance(request.instance_))
+        ++result_.early_answered_;
     if (is_late(arrived))
         ++result_.late_answered_;
 }
--- a/tests/world/cut_off_fleet.hpp
+++ b/tests/world/cut_off_fleet.hpp
@@ -43,6 +43,11 @@
     bool is_whole_data_centre_{false};
     /// The endpoints that they do not reach: the first ones.
     std::size_t cut_endpoints_{9};
+    /// Whether the endpoints of the first data centre stay reachable for its instances, as when that data
+    /// centre is cut off from all others.
+    bool keeps_own_endpoints_{false};
+    /// Whether prompts of requests share parts, so that most go to endpoints of other data centres.
+    bool has_shared_prompts_{false};
     /// Whether the last instance is suspended in the middle of the cut, for three seconds.
     bool has_suspension_{false};
     state::duration cut_from_{std::chrono::seconds{5}};
@@ -55,6 +60,9 @@
     std::int64_t cut_sent_{0};
     std::int64_t cut_answered_{0};
     std::int64_t cut_in_time_{0};
+    /// The same in the first three seconds of the cut.
+    std::int64_t early_sent_{0};
+    std::int64_t early_answered_{0};
     std::int64_t other_sent_{0};
     std::int64_t other_answered_{0};
     /// Requests at all instances from 3 s after the end of the cut on, and those passed on to another one.
@@ -106,6 +114,7 @@
     auto schedule_requests() -> void;
     auto schedule_tick(std::size_t where) -> void;
     auto send_request() -> void;
+    auto prompt_of(state::request_handle handle) const -> std::vector<coordination::forwarding::prompt_part>;
     auto is_cut(std::size_t where, std::size_t endpoint) const -> bool;
     auto is_cut_instance(std::size_t where) const -> bool;
     /// Whether a request that arrives then counts as one after the cut.
