--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -212,6 +212,13 @@
         state::time_point last_sample_at_{};
     };
 
+    /// The endpoints of a service to probe after the loss of another one.
+    struct sibling_probe_plan {
+        std::size_t left_{0};
+        /// Where the lost one is.
+        state::data_centre_id data_centre_;
+    };
+
     static auto decayed_objective_ratio(const entry& known, state::time_point now) -> double;
     /// The time until the endpoint starts on a new request.
     static auto queueing_delay(const entry& known, const pool_query& query) -> state::duration;
@@ -228,6 +235,9 @@
     /// Endpoints with a higher objective ratio than this rank behind the others.
     static auto max_objective_ratio(const std::vector<const entry*>& usable, state::time_point now) -> double;
 
+    /// Sorts the endpoints to probe: at random, by turns from the lost one's data centre and from the others,
+    /// so that the loss of a data centre is told from the loss of the own links.
+    auto sort_siblings(std::vector<entry*>& siblings, std::uint64_t random) const -> void;
     auto is_candidate(const entry& known, const pool_query& query) const -> bool;
     /// When this instance may send the endpoint a new request, by what the endpoint has stated.
     auto next_request_at(const entry& known, state::time_point now) const -> state::time_point;
@@ -244,18 +254,8 @@
     /// The endpoints of a service that became unreachable since one of them was last reached.
     std::map<state::service_name, std::set<state::endpoint_id>> lost_;
 
-    /// The endpoints of a service to probe after the loss of another one.
-    struct sibling_probes {
-        std::size_t left_{0};
-        /// Where the lost one is.
-        state::data_centre_id data_centre_;
-    };
-
-    /// Sorts the endpoints to probe: at random, by turns from the lost one's data centre and from the others,
-    /// so that the loss of a data centre is told from the loss of the own links.
-    auto sort_siblings(std::vector<entry*>& siblings, std::uint64_t random) const -> void;
-
-    std::map<state::service_name, sibling_probes> sibling_probes_;
+    /// What is left to probe after the loss of an endpoint.
+    std::map<state::service_name, sibling_probe_plan> sibling_probes_;
     std::map<state::service_name, state::time_point> services_heard_at_;
     leaving_endpoints leaving_;
     endpoint_pauses pauses_;
