--- a/review/stand_ins/platform.hh
+++ b/review/stand_ins/platform.hh
@@ -415,7 +415,14 @@
         work_ms_ = work_ms;
     }
 
-    // Whether the attempt began to run here.
+    // Makes this a model engine: requests that name another model get 421, the others a stream of events.
+    void set_models(std::set<std::string> models)
+    {
+        const std::lock_guard lock{mutex_};
+        models_ = std::move(models);
+    }
+
+    // How often the attempt began to run here.
     int runs_of(const std::string& attempt)
     {
         const std::lock_guard lock{mutex_};
@@ -456,6 +463,14 @@
                     return;
                 continue;
             }
+            if (!knows_model_of(request)) {
+                log_.line("not run   %s at %s, model %s is not known", attempt.c_str(), name_.c_str(),
+                          request.header("x-model").c_str());
+                if (!peer.send(
+                        response(421, common + "X-Not-Run: 1\r\nX-Instance-Id: " + name_ + "\r\n", "")))
+                    return;
+                continue;
+            }
             decide how;
             long work;
             {
@@ -468,6 +483,12 @@
             log_.line("run       %s at %s, body of %zu bytes", attempt.c_str(), name_.c_str(),
                       request.body.size());
             sleep_ms(work);
+            if (!request.header("x-token-counts").empty()) {
+                if (!stream(peer, request, common))
+                    return;
+                log_.line("ran       %s at %s", attempt.c_str(), name_.c_str());
+                continue;
+            }
             auto result = how ? how(request, attempt) : run_result{};
             if (result.body.empty())
                 result.body = "{\"attempt\":\"" + attempt + "\",\"server\":\"" + name_ + "\"}";
@@ -477,6 +498,31 @@
         }
     }
 
+    bool knows_model_of(const message& request)
+    {
+        const std::lock_guard lock{mutex_};
+        return models_.empty() || models_.count(request.header("x-model")) > 0;
+    }
+
+    static bool stream(connection& peer, const message& request, const std::string& common)
+    {
+        if (!peer.send("HTTP/1.1 200 OK\r\n" + common +
+                       "Content-Type: text/event-stream\r\nX-Confidence: 90\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"))
+            return false;
+        const auto resumed = request.header("last-event-id");
+        for (auto number = std::atoi(resumed.c_str()) + 1; number <= 8; ++number) {
+            const auto text = std::to_string(number);
+            const auto event = "id: " + text + "\ndata: part " + text + "\n\n";
+            char size[32];
+            std::snprintf(size, sizeof size, "%zx\r\n", event.size());
+            if (!peer.send(size + event + "\r\n"))
+                return false;
+            sleep_ms(30);
+        }
+        return peer.send("0\r\n\r\n");
+    }
+
     std::string name_;
     std::string ip_;
     int port_;
@@ -484,6 +530,7 @@
     std::mutex mutex_;
     decide how_;
     long work_ms_{60};
+    std::set<std::string> models_;
     std::map<std::string, int> runs_;
     std::vector<std::pair<long, std::string>> arrivals_;
     std::unique_ptr<listener> listener_;
@@ -641,7 +688,7 @@
     // With a rate, the body is sent at so many bytes in a millisecond.
     reply ask(const std::string& method, const std::string& path, const std::string& attempt,
               const std::string& body, long deadline_ms, std::size_t rate = 0,
-              const std::string& key = "harbour-key")
+              const std::string& key = "harbour-key", const std::string& headers = "")
     {
         reply result;
         if (!peer_.is_open())
@@ -650,10 +697,10 @@
             log_.line("answer    %s no connection to %s", attempt.c_str(), ip_.c_str());
             return result;
         }
-        const auto text = method + " " + path +
-                          " HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: " + attempt +
-                          "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Bearer " +
-                          key + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        const auto text =
+            method + " " + path + " HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: " + attempt +
+            "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\nAuthorization: Bearer " + key +
+            "\r\n" + headers + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
         log_.line("send      %s %s to %s, body of %zu bytes", attempt.c_str(), path.c_str(), ip_.c_str(),
                   body.size());
         result.was_sent = peer_.send(text) && send_body(body, rate);
