--- a/review/stand_ins/platform.hh
+++ b/review/stand_ins/platform.hh
@@ -141,11 +141,14 @@
         std::thread{[this] { accept(); }}.detach();
     }
 
-    // New connections are refused from now on.
+    // From now on connections are refused, and the open ones are closed.
     void stop()
     {
         ::shutdown(fd_, SHUT_RDWR);
         ::close(fd_);
+        const std::lock_guard lock{mutex_};
+        for (const auto peer : peers_)
+            ::shutdown(peer, SHUT_RDWR);
     }
 
 private:
@@ -158,14 +161,23 @@
             if (fd < 0)
                 return;
             std::thread{[this, fd] {
+                {
+                    const std::lock_guard lock{mutex_};
+                    peers_.insert(fd);
+                }
                 auto peer = connection{fd};
                 handle_(peer);
+                const std::lock_guard lock{mutex_};
+                peers_.erase(fd);
+                peer.close();
             }}.detach();
         }
     }
 
     int fd_;
     handler handle_;
+    std::mutex mutex_;
+    std::set<int> peers_;
 };
 
 // The metadata store. Holds each object's spec and status as the text that its writer sent.
@@ -399,6 +411,14 @@
         listener_ = std::make_unique<listener>(ip_, port_, [this](connection& peer) { serve(peer); });
     }
 
+    // The process ends: what it runs is lost, and connections to it are refused.
+    void crash()
+    {
+        has_crashed_ = true;
+        listener_->stop();
+        log_.line("server    %s crashes", name_.c_str());
+    }
+
     std::string spec(const std::string& service, const std::string& zone) const
     {
         return "{\"service\":\"" + service + "\",\"address\":\"" + ip_ + ":" + std::to_string(port_) +
@@ -483,6 +503,8 @@
             log_.line("run       %s at %s, body of %zu bytes", attempt.c_str(), name_.c_str(),
                       request.body.size());
             sleep_ms(work);
+            if (has_crashed_)
+                return;
             if (!request.header("x-token-counts").empty()) {
                 if (!stream(peer, request, common))
                     return;
@@ -527,6 +549,7 @@
     std::string ip_;
     int port_;
     record& log_;
+    std::atomic<bool> has_crashed_{false};
     std::mutex mutex_;
     decide how_;
     long work_ms_{60};
