--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in model entries promise hot uploads; do
+for name in model entries poison promise hot; do
     g++ -std=c++17 -O1 -Wall -Wextra -pthread "review/stand_ins/$name.cc" -o "target/review/$name"
 done
--- a/review/stand_ins/platform.hh
+++ b/review/stand_ins/platform.hh
@@ -435,6 +435,13 @@
         work_ms_ = work_ms;
     }
 
+    // Called when a run begins; it may end the server.
+    void set_begin(std::function<void(const message&, const std::string&)> begin)
+    {
+        const std::lock_guard lock{mutex_};
+        begin_ = std::move(begin);
+    }
+
     // Makes this a model engine: requests that name another model get 421, the others a stream of events.
     void set_models(std::set<std::string> models)
     {
@@ -492,16 +499,20 @@
                 continue;
             }
             decide how;
+            std::function<void(const message&, const std::string&)> begin;
             long work;
             {
                 const std::lock_guard lock{mutex_};
                 ++runs_[attempt];
                 arrivals_.emplace_back(log_.now(), attempt);
                 how = how_;
+                begin = begin_;
                 work = work_ms_;
             }
             log_.line("run       %s at %s, body of %zu bytes", attempt.c_str(), name_.c_str(),
                       request.body.size());
+            if (begin)
+                begin(request, attempt);
             sleep_ms(work);
             if (has_crashed_)
                 return;
@@ -552,6 +563,7 @@
     std::atomic<bool> has_crashed_{false};
     std::mutex mutex_;
     decide how_;
+    std::function<void(const message&, const std::string&)> begin_;
     long work_ms_{60};
     std::set<std::string> models_;
     std::map<std::string, int> runs_;
