--- a/review/stand_ins/platform.hh
+++ b/review/stand_ins/platform.hh
@@ -773,7 +773,7 @@
     connection peer_;
 };
 
-// The first of six ports that are free on all addresses in use.
+// The first of six ports that are free on the addresses in use.
 inline int free_ports()
 {
     std::srand(static_cast<unsigned>(::getpid()) ^
@@ -781,11 +781,13 @@
     for (int tries = 0; tries < 200; ++tries) {
         const int first = 21000 + std::rand() % 900 * 10;
         bool are_free = true;
-        for (int i = 0; i < 6 && are_free; ++i) {
-            const auto fd = listen_on("0.0.0.0", first + i);
-            are_free = fd >= 0;
-            if (fd >= 0)
-                ::close(fd);
+        for (const auto* ip : {"127.0.1.1", "127.0.2.1", "127.0.3.1", "127.0.5.1"}) {
+            for (int i = 0; i < 6 && are_free; ++i) {
+                const auto fd = listen_on(ip, first + i);
+                are_free = fd >= 0;
+                if (fd >= 0)
+                    ::close(fd);
+            }
         }
         if (are_free)
             return first;
