platform: Read the other entries beside one that cannot be read

One entry of another writer, with half of a surrogate pair, deep nesting or a number out of range, kept all instances from learning of endpoints that come, drain or go; instances that started beside it served nothing.

Cause: answers of the store, and listings between instances, were parsed as one text, and one bad entry made it malformed.

An answer that the strict parser rejects is read part by part: an unreadable spec becomes null, so that its entry names no endpoint, and the others hold. Splitting does not recurse, and results stay within the depth that earlier builds accept. What is skipped is logged with its place. Loops that follow the store go on after any error of the parser.

--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -13,6 +13,7 @@
 #include "platform/endpoint_reader.hpp"
 #include "platform/object_mirror.hpp"
 #include "platform/store_client.hpp"
+#include "protocol/json/partial_value.hpp"
 #include "transport/http/client.hpp"
 #include "transport/http/server.hpp"
 #include "transport/logging/logger.hpp"
@@ -28,6 +29,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace buckthorndale::services::front {
 
@@ -115,6 +117,8 @@
     auto record_confirmation(followed_kind& kind, state::time_point asked_at, state::store_position position)
         -> void;
     auto publish_confirmation(const followed_kind& kind) -> void;
+    auto log_unreadable(const followed_kind& kind, const std::vector<protocol::json::unreadable_part>& parts)
+        -> void;
     auto mark_regained(followed_kind& kind) -> void;
     auto mark_lost(followed_kind& kind, const std::string& reason) -> void;
     /// Records, after mark_lost(), that the store does not answer, so that entries may lapse there. Otherwise
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -14,7 +14,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <json/value.h>
+
 #include <algorithm>
+#include <ranges>
 
 namespace buckthorndale::services::front {
 
@@ -112,6 +115,13 @@
                 mark_lost(kind, caught.what());
                 mark_store_away(kind);
             }
+        } catch (const state::error& caught) {
+            has_failed = true;
+            mark_lost(kind, caught.what());
+        } catch (const Json::Exception& caught) {
+            // Whatever the store holds, this loop goes on.
+            has_failed = true;
+            mark_lost(kind, caught.what());
         }
         if (has_failed)
             co_await sleep(pacing.pause(clock_.now(), draw()));
@@ -193,6 +203,7 @@
     auto& mirror = kind.mirror_;
     const auto asked_at = clock_.boot_now();
     const auto listing = co_await store_.list(mirror.kind(), platform::read_consistency::latest);
+    log_unreadable(kind, listing.unreadable_);
     if (listing.position_.era_ < era_ || !mirror.replace(listing))
         throw store_error{store_fault::no_response, "the store's listing is older than the known position"};
     record_confirmation(kind, asked_at, listing.position_);
@@ -200,6 +211,7 @@
     apply_changes(kind);
     while (watches_store()) {
         const auto changes = co_await watch_until_restore(kind);
+        log_unreadable(kind, changes.unreadable_);
         // The era may also be learned from another answer while changes are applied.
         if (!mirror.apply(changes) || kind.is_lost_)
             throw store_error{store_fault::history_gone, "the objects must be read anew"};
@@ -230,6 +242,15 @@
     }
 }
 
+auto control_worker::log_unreadable(const followed_kind& kind,
+                                    const std::vector<protocol::json::unreadable_part>& parts) -> void
+{
+    constexpr auto max_logged = std::size_t{8};
+    for (const auto& part : parts | std::views::take(max_logged))
+        log_.warn("unreadable part of an answer skipped kind=" + kind.mirror_.kind() + " part=" + part.path_ +
+                  " of=" + std::to_string(parts.size()) + " reason=\"" + part.reason_ + "\"");
+}
+
 auto control_worker::mark_regained(followed_kind& kind) -> void
 {
     if (!std::exchange(kind.is_lost_, false))
@@ -312,6 +333,7 @@
     learn_era(peer_era);
     if (answer.result_int() == listing_status) {
         const auto listing = platform::decompress_listing(answer.body());
+        log_unreadable(kind, listing.unreadable_);
         const auto is_newer = listing.position_.era_ >= era_ && listing.position_ > mirror.position();
         if (is_newer && mirror.replace(listing)) {
             log_.debug("objects taken from instance address=" + peer.text() + " kind=" + mirror.kind() + " " +
--- a/tests/protocol/codecs.cpp
+++ b/tests/protocol/codecs.cpp
@@ -3,6 +3,7 @@
 #include "protocol/codec/bill_codec.hpp"
 #include "protocol/codec/configuration_codec.hpp"
 #include "protocol/event_stream/parser.hpp"
+#include "protocol/json/partial_value.hpp"
 #include "protocol/json/text.hpp"
 #include "protocol/rpc/message_codec.hpp"
 #include "state/error.hpp"
@@ -114,6 +115,52 @@
     BOOST_CHECK_THROW(protocol::json::parse(text, error_kind::invalid_request), state::error);
 }
 
+// One unreadable entry made the whole list of endpoints unreadable.
+BOOST_AUTO_TEST_CASE(an_unreadable_part_spoils_no_other_part)
+{
+    const auto levels = 3;
+    const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
+    const auto bad_specs = std::vector<std::string>{R"({"zone":"half \ud83d"})",
+                                                    R"({"slots":1e400})",
+                                                    R"({"slots":)" + nested(70) + "}",
+                                                    R"({"slots":)" + nested(100'000) + "}",
+                                                    R"({"slots":1,"slots":2})",
+                                                    R"({"slots":[1})",
+                                                    R"({"slots":})",
+                                                    R"({"slots" 1})",
+                                                    "nothing",
+                                                    "not json",
+                                                    "{} x",
+                                                    ""};
+    for (const auto& bad : bad_specs) {
+        const auto text = R"({"items":[{"metadata":{"name":"a"},"spec":{"slots":1}},)"
+                          R"({"metadata":{"name":"b"},"spec":)" +
+                          bad + R"(},{"metadata":{"name":"c"},"spec":{"slots":3}}],"currentRev":7})";
+        BOOST_CHECK_THROW(protocol::json::parse(text, state::error_kind::invalid_request), state::error);
+        const auto parsed =
+            protocol::json::parse_readable_parts(text, levels, state::error_kind::invalid_request);
+        const auto& items = parsed.value_["items"];
+        BOOST_REQUIRE(items.size() == 3U);
+        BOOST_TEST(items[0]["spec"]["slots"].asInt() == 1);
+        BOOST_TEST(items[1]["metadata"]["name"].asString() == "b");
+        BOOST_TEST(items[1]["spec"].isNull());
+        BOOST_TEST(items[2]["spec"]["slots"].asInt() == 3);
+        BOOST_TEST(parsed.value_["currentRev"].asInt() == 7);
+        BOOST_REQUIRE(parsed.unreadable_.size() == 1U);
+        BOOST_TEST(parsed.unreadable_.front().path_ == "items[1].spec");
+        // Instances pass on what they could read.
+        BOOST_CHECK_NO_THROW(protocol::json::parse(protocol::json::to_text(parsed.value_),
+                                                   state::error_kind::invalid_request));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_text_that_is_unreadable_as_a_whole_gives_a_typed_error)
+{
+    for (const auto* text : {"", "{", "[", "nothing", R"({"a":1}})", R"({"a":1} b)", R"({"a":1,"a":2})"})
+        BOOST_CHECK_THROW(protocol::json::parse_readable_parts(text, 3, state::error_kind::invalid_request),
+                          state::error);
+}
+
 BOOST_AUTO_TEST_CASE(damaged_text_gives_typed_errors)
 {
     using protocol::json::parse;
