front: Skip an entry of an instance that cannot be read alone

After one odd entry among those of the instances, all instances stopped reading the list: they no longer learned of instances that came or went, and one that started could pass no request on.

Cause: a spec that is no object ended the coroutine that follows the instances, and an address that cannot be read made the whole list invalid. A roll-out that cannot be read when a step is recorded ended that coroutine likewise, and kept later steps of its service from being recorded (read, without a test of its own).

processes/unreadable_instances on the program before: the coroutine ends at all three instances, nothing is passed on; passes now.

--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -261,23 +261,23 @@
     co_await sleep(recording_delay_step * static_cast<std::int64_t>(delay_steps));
     const auto& objects = roll_outs_.mirror_.objects();
     const auto found = objects.find(step.service_.text());
-    auto roll_out = state::staged_roll_out{};
-    if (found != objects.end())
-        roll_out = platform::read_roll_out(found->second);
-    const auto is_current = !roll_outs_.is_lost_ &&
+    const auto is_current = found != objects.end() && !roll_outs_.is_lost_ &&
                             roll_outs_.mirror_.position().era_ == step.position_.era_ &&
-                            roll_out.revision_ == step.position_.revision_;
-    if (found != objects.end() && is_current) {
+                            platform::object_revision(found->second) == step.position_.revision_;
+    if (is_current) {
         const auto log_fields = "service=" + step.service_.text() + " target=" + step.target_.text() +
                                 " state=" + std::to_string(static_cast<int>(step.state_)) + " " +
                                 text_of(step.position_);
         try {
+            const auto roll_out = platform::read_roll_out(found->second);
             co_await store_.replace_status(platform::kind::roll_outs, step.service_.text(), step.position_,
                                            platform::roll_out_status(roll_out, step.state_));
             log_.info("roll-out recorded " + log_fields);
         } catch (const store_error& fault) {
             // Another instance recorded the step first, or it is retried with the next report.
             log_.info("roll-out not recorded " + log_fields + " reason=\"" + fault.what() + "\"");
+        } catch (const state::error& fault) {
+            log_.warn("roll-out not recorded " + log_fields + " reason=\"" + fault.what() + "\"");
         }
     }
     recording_.erase(step.service_);
--- a/services/front/control_worker_instances.cpp
+++ b/services/front/control_worker_instances.cpp
@@ -6,6 +6,7 @@
 
 #include "platform/names.hpp"
 #include "platform/object_codec.hpp"
+#include "protocol/json/object_reader.hpp"
 #include "state/error.hpp"
 
 #include <algorithm>
@@ -30,23 +31,42 @@
 /// Until all instances have registered again, those known before count as listed.
 constexpr auto reregistration_time = state::duration{std::chrono::seconds{3}};
 
-auto parse_instances(const platform::object_listing& listing)
+/// Throws error for an address that cannot be connected to.
+auto parse_address(const std::string& text) -> state::network_address
+{
+    auto address = state::network_address_from_text(text);
+    http::to_socket_address(address);
+    return address;
+}
+
+auto parse_instance(const Json::Value& object) -> coordination::membership::listed_instance
+{
+    const auto name = platform::read_metadata(object).name_;
+    auto reader = protocol::json::object_reader{object, "", state::error_kind::invalid_request}.child("spec");
+    auto instance = coordination::membership::listed_instance{
+        .id_ = state::instance_id{name},
+        .data_centre_ = state::data_centre_id{reader.text("data_centre")},
+        .control_ = parse_address(reader.text("control"))};
+    if (const auto& speed = reader.raw("link_mbps"); speed.isInt64())
+        instance.link_mbps_ = speed.asInt64();
+    // Instances of older builds accept no requests of others.
+    if (reader.has("relay"))
+        instance.relay_ = parse_address(reader.text("relay"));
+    return instance;
+}
+
+/// Leaves out and logs the entries that cannot be read.
+auto parse_instances(const platform::object_listing& listing, transport::logging::logger& log)
     -> std::vector<coordination::membership::listed_instance>
 {
     auto instances = std::vector<coordination::membership::listed_instance>{};
     for (const auto& object : listing.objects_) {
-        const auto& spec = object["spec"];
-        if (!spec["control"].isString() || !spec["data_centre"].isString())
-            continue;
-        // Instances of older builds accept no requests of others.
-        const auto relay = spec["relay"].isString()
-                               ? std::optional{state::network_address_from_text(spec["relay"].asString())}
-                               : std::nullopt;
-        instances.push_back({.id_ = state::instance_id{platform::read_metadata(object).name_},
-                             .data_centre_ = state::data_centre_id{spec["data_centre"].asString()},
-                             .control_ = state::network_address_from_text(spec["control"].asString()),
-                             .link_mbps_ = spec["link_mbps"].isInt64() ? spec["link_mbps"].asInt64() : 0,
-                             .relay_ = relay});
+        try {
+            instances.push_back(parse_instance(object));
+        } catch (const state::error& fault) {
+            log.warn("invalid instance skipped name=" + platform::object_name(object) + " reason=\"" +
+                     fault.what() + "\"");
+        }
     }
     return instances;
 }
@@ -95,7 +115,8 @@
 auto control_worker::register_again(const platform::object_listing& listing) -> http::awaitable<void>
 {
     const auto is_listed = std::ranges::any_of(listing.objects_, [this](const Json::Value& object) {
-        return object["metadata"]["name"] == settings_.instance_.text() && object["spec"] == instance_spec();
+        return platform::object_name(object) == settings_.instance_.text() &&
+               object["spec"] == instance_spec();
     });
     if (!is_listed)
         co_await register_instance();
@@ -123,9 +144,9 @@
                 registered_era = listing.position_.era_;
             }
             if (clock_.now() < retained_until)
-                watchers_.add(parse_instances(listing));
+                watchers_.add(parse_instances(listing, log_));
             else
-                watchers_.update(parse_instances(listing));
+                watchers_.update(parse_instances(listing, log_));
             peers_.set_peers(watchers_.others());
             publish_instances();
             are_instances_known_ = true;
