platform: Believe no answer of another attempt

An endpoint that sends an earlier refusal once more, instead of the answer to the request that it runs, made that request run at a second endpoint, or its caller was told that it had not run.

Cause: whether an answer belongs to the attempt was asked only before its body was passed on. X-Not-Run, a 421 and what an endpoint states of itself were taken from any answer. A success that states it has not run was taken for one that has not.

An answer that names another attempt tells nothing now: the request may have run. Refusals without an attempt id still count, as endpoints leave it out there, and each attempt has a connection of its own.

--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -69,7 +69,7 @@
         co_return;
     co_await attempt.stream_->read_header(command.first_byte_timeout_);
     state.headers_received_at_ = clock_.now();
-    const auto headers = platform::read_response_headers(*attempt.stream_, request);
+    const auto headers = platform::read_response_headers(attempt.stream_->head(), request);
     const auto should_continue = co_await handle_headers(state, headers);
     if (!should_continue)
         co_return;
@@ -91,6 +91,12 @@
 {
     auto& result = state.result_;
     const auto& command = state.attempt_.command_;
+    if (headers.is_foreign_) {
+        log_.warn("answer of another attempt dropped attempt=" + std::to_string(command.attempt_.value()) +
+                  " endpoint=" + command.endpoint_.text() + " status=" + std::to_string(headers.status_));
+        result.outcome_ = forward_outcome::malformed;
+        co_return false;
+    }
     const auto is_relayed = command.relayed_attempts_.has_value();
     // A pause concerns the instance that the endpoint answered.
     result.has_asked_for_pause_ = headers.notice_.asks_for_pause() && !is_relayed;
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -7,6 +7,7 @@
 #include "platform/endpoint_codec.hpp"
 #include "protocol/event_stream/raw_splitter.hpp"
 #include "transport/http/client.hpp"
+#include "transport/logging/logger.hpp"
 #include "transport/process/clock.hpp"
 
 #include <cstddef>
@@ -57,6 +58,7 @@
     static constexpr std::size_t max_buffered_bytes{16'777'216};
 
     transport::process::system_clock clock_;
+    transport::logging::logger log_{"network"};
     transport::http::client& client_;
     answer_memory memory_{max_buffered_bytes};
 };
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -246,7 +246,7 @@
     try {
         const auto stream = co_await client_.open(action.address_, platform::probe_request(action.path_),
                                                   timeouts, connection_is_new);
-        named = platform::read_named_endpoint(*stream);
+        named = platform::read_named_endpoint(stream->head());
         stream->cancel();
     } catch (const http::client_error& fault) {
         log_.info("endpoint not identified endpoint=" + action.endpoint_.text() + " reason=\"" +
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -269,6 +269,44 @@
     }
 }
 
+// A refusal that belonged to an earlier request was believed for the next one.
+BOOST_AUTO_TEST_CASE(an_answer_of_another_attempt_tells_nothing)
+{
+    const auto read = [](unsigned status, const std::string& attempt, bool states_not_run) {
+        auto head = http::response{}.base();
+        head.result(status);
+        if (!attempt.empty())
+            head.set("X-Attempt-Id", attempt);
+        if (states_not_run)
+            head.set("X-Not-Run", "1");
+        head.set("X-Response-Stamp", "s");
+        head.set("Server-Leaving", "1");
+        head.set("Server-Limit", "1");
+        head.set("Retry-After", "5");
+        return platform::read_response_headers(head, caller_message());
+    };
+    for (const auto status : {200U, 421U, 429U, 500U, 503U}) {
+        const auto foreign = read(status, "a0", true);
+        BOOST_TEST(foreign.is_foreign_);
+        BOOST_TEST(!foreign.has_not_run_);
+        BOOST_TEST(!foreign.is_misdirected_);
+        BOOST_TEST(!foreign.is_genuine_);
+        BOOST_TEST(!foreign.notice_.is_leaving_);
+        BOOST_TEST(!foreign.notice_.limit_.has_value());
+        BOOST_TEST(!foreign.notice_.asks_for_pause());
+    }
+    // Some refusals do not repeat the attempt.
+    for (const auto* attempt : {"a1", ""}) {
+        BOOST_TEST(read(503, attempt, true).has_not_run_);
+        BOOST_TEST(!read(503, attempt, false).has_not_run_);
+        BOOST_TEST(read(421, attempt, false).has_not_run_);
+        BOOST_TEST(read(200, attempt, false).is_genuine_);
+    }
+    // A success that states that it has not run contradicts itself.
+    BOOST_TEST(!read(200, "a1", true).has_not_run_);
+    BOOST_TEST(!read(200, "a1", true).is_genuine_);
+}
+
 BOOST_AUTO_TEST_CASE(only_what_has_not_run_is_refused_as_not_run)
 {
     using coordination::routing::refusal;
