front: Pass on nothing but numbered events of a stream that may be resumed

A stream broke off, and the next endpoint answered the rest with an error within an event stream: callers found the text of the error, at times with its header, between their events, or the stream ended as if it were complete.

Cause: what a blank line ended was an event, whether or not it had a number; only numbered ones were compared with what the caller had. An empty rest that ended with its connection counted as complete.

On routes whose streams may be resumed, an event without a number ends the attempt as malformed, and the rest is asked for elsewhere. An empty rest is complete only if its end was announced. An error status instead of the rest was handled before.

--- a/libraries/coordination/forwarding/forward_command.hpp
+++ b/libraries/coordination/forwarding/forward_command.hpp
@@ -33,6 +33,8 @@
     state::duration stall_threshold_{0};
     /// Id of the last event that the caller has; empty at the beginning of a stream.
     std::string resume_after_;
+    /// Whether another endpoint may continue the stream, so that its events must be numbered.
+    bool is_resumable_{false};
     /// Whether the response body is held back until the engine releases it.
     bool is_held_{false};
     /// Whether the request goes to another instance, which may make this many attempts, and not to an
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -70,6 +70,7 @@
                         .first_byte_timeout_ = left,
                         .stall_threshold_ = std::max(item.route_.gap_objective_, min_stall_threshold),
                         .resume_after_ = item.last_event_,
+                        .is_resumable_ = item.route_.is_repeatable(),
                         .is_held_ = is_held});
 }
 
--- a/libraries/coordination/forwarding/forward_engine_relays.hpp
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -54,6 +54,7 @@
                                    .first_byte_timeout_ = item.deadline_ - now,
                                    .stall_threshold_ = item.deadline_ - now,
                                    .resume_after_ = item.last_event_,
+                                   .is_resumable_ = item.route_.is_repeatable(),
                                    .relayed_attempts_ = attempts});
     return true;
 }
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -2,8 +2,8 @@
 
 #include "front/forward_runner.hpp"
 
+#include "protocol/event_stream/event_order.hpp"
 #include "state/error.hpp"
-#include "state/number_from_text.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -44,7 +44,9 @@
         co_await send_and_receive(state);
     } catch (const http::client_error& caught) {
         fault = caught.fault();
-    } catch (const state::error&) {
+    } catch (const state::error& caught) {
+        log_.warn("answer not usable attempt=" + std::to_string(attempt->command_.attempt_.value()) +
+                  " endpoint=" + attempt->command_.endpoint_.text() + " reason=\"" + caught.what() + "\"");
         state.result_.outcome_ = forward_outcome::malformed;
     }
     if (fault && !attempt->is_cancelled_)
@@ -175,8 +177,11 @@
         co_await state.call_.output_.wait_for_room();
     }
     state.result_.stream_time_ = clock_.now() - state.headers_received_at_;
-    // A stream that ends within an event, or has none, is incomplete.
-    const auto is_complete = state.splitter_.partial_event().empty() && state.call_.has_sent_headers_;
+    // A stream that ends within an event, or has none, is incomplete. Only the rest of a stream may be empty,
+    // and then its end must have been announced.
+    const auto has_end = state.has_received_events_ || !attempt.stream_->ends_with_connection();
+    const auto is_complete =
+        state.splitter_.partial_event().empty() && state.call_.has_sent_headers_ && has_end;
     state.result_.outcome_ = is_complete ? forward_outcome::complete : forward_outcome::broken;
     co_await check_end(state);
 }
@@ -195,12 +200,18 @@
 
 auto forward_runner::relay_event(progress& state, protocol::event_stream::raw_event event) -> void
 {
+    using protocol::event_stream::event_verdict;
     auto& call = state.call_;
+    const auto& command = state.attempt_.command_;
+    const auto& last = call.last_event_.empty() ? command.resume_after_ : call.last_event_;
+    const auto verdict = protocol::event_stream::judge_event(event, last, command.is_resumable_);
+    if (verdict == event_verdict::misplaced)
+        throw state::error{state::error_kind::endpoint_failed,
+                           "A stream that may be continued has an event without a number.",
+                           "Make the endpoint number the events."};
+    state.has_received_events_ = true;
     // After a resume an endpoint may repeat events that the caller has received.
-    const auto number = state::number_from_text<std::uint64_t>(event.id_);
-    const auto last = state::number_from_text<std::uint64_t>(
-        call.last_event_.empty() ? state.attempt_.command_.resume_after_ : call.last_event_);
-    if (number && last && *number <= *last)
+    if (verdict == event_verdict::repeated)
         return;
     if (!std::exchange(call.has_sent_headers_, true))
         call.output_.push(answer_started{answer_headers(state)});
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -38,6 +38,7 @@
         coordination::forwarding::forward_attempt_result result_;
         protocol::event_stream::raw_splitter splitter_;
         answer_memory::share buffered_;
+        bool has_received_events_{false};
         state::time_point headers_received_at_;
     };
 
