router: Believe no refusal of another request

An endpoint that runs a call and sends a refusal of an earlier one made a call that must not run twice run 14 times, and its caller was told that it had not run. On a connection that is used again, an answer to another request would have been passed on to the next caller.

Cause: the answer's X-Request-Id was not compared with the request's.

An answer that names another request ends the attempt as failed: the call may have run. A connection is only used again if the endpoint names the request in its answer.

--- a/services/router/attempt_runner.cpp
+++ b/services/router/attempt_runner.cpp
@@ -76,7 +76,8 @@
     state.result_.chunks_accepted_ = request->relay_.accepted();
     if (state.result_.tokens_ == state::token_count{})
         state.result_.tokens_ = state::token_count{static_cast<std::int64_t>(request->relay_.accepted())};
-    if (attempt->stream_ && state.result_.kind_ == attempt_result_kind::complete)
+    // Only an endpoint that names the request in its answers may answer another one on the same connection.
+    if (attempt->stream_ && state.result_.kind_ == attempt_result_kind::complete && state.is_named_)
         attempt->stream_->release();
     attempt->stream_.reset();
     co_return state.result_;
@@ -128,6 +129,16 @@
 {
     const auto& stream = *state.attempt_.stream_;
     auto& result = state.result_;
+    const auto answered = stream.header(protocol::caller::request_id_header);
+    state.is_named_ = answered == state.request_.description_.id_.text();
+    if (!answered.empty() && !state.is_named_) {
+        log_.warn("answer to another request dropped request=" + state.request_.description_.id_.text() +
+                  " endpoint=" + state.attempt_.order_.address_.text() +
+                  " status=" + std::to_string(stream.status()));
+        client_.drop_idle(state.attempt_.order_.address_);
+        result.kind_ = attempt_result_kind::failed;
+        return false;
+    }
     result.is_leaving_ = stream.header("X-Leaving") == "true";
     if (const auto running = state::number_from_text<std::uint64_t>(stream.header("X-Running")))
         result.reported_running_ = static_cast<std::int32_t>(*running);
--- a/services/router/attempt_runner.hpp
+++ b/services/router/attempt_runner.hpp
@@ -4,6 +4,7 @@
 #include "router/caller_request.hpp"
 #include "router/metrics.hpp"
 #include "transport/http/client.hpp"
+#include "transport/logging/logger.hpp"
 #include "transport/process/clock.hpp"
 
 #include <functional>
@@ -33,6 +34,8 @@
         coordination::routing::attempt_result result_;
         first_chunk_callback on_first_chunk_;
         bool has_end_mark_{false};
+        /// Whether the answer names the request.
+        bool is_named_{false};
         state::time_point last_chunk_at_;
     };
 
@@ -46,6 +49,7 @@
         -> transport::http::awaitable<void>;
     auto build_request(const progress& state) const -> transport::http::request;
 
+    transport::logging::logger log_{"network"};
     transport::http::client& client_;
     metrics& metrics_;
     transport::process::system_clock clock_;
--- a/utilities/endpoint_stand_in/endpoint_service.cpp
+++ b/utilities/endpoint_stand_in/endpoint_service.cpp
@@ -2,6 +2,7 @@
 
 #include "endpoint_stand_in/endpoint_service.hpp"
 
+#include "protocol/caller/header_names.hpp"
 #include "protocol/event_stream/event.hpp"
 #include "protocol/json/object_reader.hpp"
 #include "protocol/json/text.hpp"
@@ -79,6 +80,11 @@
     return protocol::event_stream::to_text({.id_ = std::move(id), .data_ = std::move(data)});
 }
 
+auto request_id_of(const http::exchange& exchange) -> std::string
+{
+    return http::header_text(exchange.message(), protocol::caller::request_id_header);
+}
+
 /// Counts a request as running while it lives.
 class running_guard {
 public:
@@ -148,6 +154,7 @@
     auto head = http::make_response(200, "text/event-stream", "");
     head.set("X-Model-Version", version);
     head.set("X-Running", std::to_string(running_));
+    head.set(protocol::caller::request_id_header, request_id_of(exchange));
     co_await exchange.begin(std::move(head));
     co_await stream_tokens(exchange, body, version);
     ++served_;
@@ -184,6 +191,8 @@
 {
     auto answer = json_response(503, Json::Value{Json::objectValue});
     answer.set("X-Not-Run", "true");
+    answer.set(protocol::caller::request_id_header,
+               faults_.repeats_refusals_ ? "earlier" : request_id_of(exchange));
     answer.set("X-Running", std::to_string(running_));
     if (faults_.is_leaving_)
         answer.set("X-Leaving", "true");
@@ -203,7 +212,13 @@
     value["path"] = path;
     value["run"] = Json::UInt64{run};
     ++served_;
-    co_await exchange.send(json_response(200, value));
+    if (faults_.repeats_refusals_) {
+        co_await decline(exchange);
+        co_return;
+    }
+    auto answer = json_response(200, value);
+    answer.set(protocol::caller::request_id_header, request_id_of(exchange));
+    co_await exchange.send(std::move(answer));
 }
 
 auto endpoint_service::answer_rating(http::exchange& exchange) -> http::awaitable<void>
@@ -245,6 +260,7 @@
                .cut_after_ = reader.integer_or("cut_after", 0, largest, 0),
                .answered_version_ = reader.text_or("answered_version", ""),
                .is_leaving_ = reader.boolean_or("leaving", false),
+               .repeats_refusals_ = reader.boolean_or("repeats_refusals", false),
                .slower_ = reader.milliseconds_or("slower_ms", 0, largest, {})};
     reader.finish();
 }
--- a/utilities/endpoint_stand_in/endpoint_service.hpp
+++ b/utilities/endpoint_stand_in/endpoint_service.hpp
@@ -23,6 +23,8 @@
     std::string answered_version_;
     /// The endpoint says that it is leaving, and declines new work.
     bool is_leaving_{false};
+    /// Runs requests and sends them a refusal of an earlier one.
+    bool repeats_refusals_{false};
     /// Added to the time between tokens.
     state::duration slower_{0};
 };
