transport: Refuse requests of an unknown transfer coding

A request with Transfer-Encoding identity, gzip or another unknown coding was read as one without a body, and its body as the next request of the connection, which an endpoint then ran.

Cause: the parser takes the end of such a body for the end of the headers. Such a request is answered 400 now, and its connection is closed.

transport/caller_connections/a_body_of_an_unknown_coding_was_taken_for_a_request

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -107,6 +107,13 @@
                              coordination::routing::run_state::unknown));
 }
 
+/// Whether the end of the body cannot be told, so that its bytes would be taken for the next request.
+auto has_unknown_coding(const request& message) -> bool
+{
+    const auto coding = header_text(message, "Transfer-Encoding");
+    return !coding.empty() && !beast::iequals(coding, "chunked");
+}
+
 } // namespace
 
 /// A connection: reads requests and passes each to the handler.
@@ -378,6 +385,12 @@
             co_return false;
         }
         request_ = parser.release();
+        if (has_unknown_coding(request_)) {
+            co_await reject(problem_response(
+                {state::error_kind::invalid_request, "The transfer coding of the request is not supported.",
+                 "Send the body with a Content-Length, or in chunks without another coding."}));
+            co_return false;
+        }
         co_return true;
     }
 
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -276,6 +277,29 @@
     BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 0; }));
 }
 
+// A body of an unknown coding was run as the next request of its connection.
+BOOST_AUTO_TEST_CASE(a_body_of_an_unknown_coding_was_taken_for_a_request)
+{
+    auto handled = std::atomic<int>{0};
+    auto server = running_server{settings(), [&handled](http::exchange& exchange) {
+                                     ++handled;
+                                     return answer_at_once(exchange);
+                                 }};
+    for (const auto* coding : {"identity", "gzip", "xchunked", "gzip, chunked", "chunked, identity"}) {
+        auto smuggler = caller{server.port()};
+        smuggler.send(std::string{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "} + coding + "\r\n\r\n" +
+                      plain_request);
+        const auto answer = smuggler.read_all();
+        BOOST_TEST(status_of(answer) == "400");
+        BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+    }
+    BOOST_TEST(handled == 0);
+    auto sound = caller{server.port()};
+    sound.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n");
+    sound.read_until("served");
+    BOOST_TEST(handled == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_with_a_second_request_behind_left_unnoticed)
 {
     auto server = running_server{settings(), stream_until_disconnect};
