coordination: Forget endpoints that stayed away after an outage

An endpoint whose entry had disappeared in an outage of the store got requests again for 2.2 s at each later loss of a watch.

Cause: entries that are kept over an outage were hidden after it, not forgotten. They are dropped when the next outage begins.

forwarding/an_entry_that_stayed_away_after_an_outage_does_not_return_in_the_next_one

--- a/libraries/coordination/forwarding/endpoint_directory.cpp
+++ b/libraries/coordination/forwarding/endpoint_directory.cpp
@@ -4,6 +4,14 @@
 
 namespace buckthorndale::coordination::forwarding {
 
+auto endpoint_directory::mark_store_unavailable(state::time_point now) -> void
+{
+    // What was still missing when the outage before was over is gone.
+    if (!is_retention_active(now))
+        retained_.clear();
+    is_store_unavailable_ = true;
+}
+
 auto endpoint_directory::mark_store_available(state::time_point now) -> void
 {
     if (is_store_unavailable_)
--- a/libraries/coordination/forwarding/endpoint_directory.hpp
+++ b/libraries/coordination/forwarding/endpoint_directory.hpp
@@ -18,7 +18,7 @@
     /// Replaces the list with what the store returned.
     auto list(const std::vector<state::registered_endpoint>& endpoints, state::time_point now) -> void;
 
-    auto mark_store_unavailable() -> void { is_store_unavailable_ = true; }
+    auto mark_store_unavailable(state::time_point now) -> void;
 
     /// Ends an outage; to be called before list().
     auto mark_store_available(state::time_point now) -> void;
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -281,7 +281,7 @@
 auto control_worker::mark_store_away(const followed_kind& kind) -> void
 {
     if (&kind == &endpoints_)
-        directory_.mark_store_unavailable();
+        directory_.mark_store_unavailable(clock_.now());
 }
 
 auto control_worker::apply_changes(followed_kind& kind) -> void
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -342,7 +342,7 @@
 {
     auto directory = forwarding::endpoint_directory{};
     directory.list({endpoint("e1"), endpoint("e2")}, at(1s));
-    directory.mark_store_unavailable();
+    directory.mark_store_unavailable(at(2s));
     directory.mark_store_available(at(10s));
     directory.list({endpoint("e2")}, at(10s));
     BOOST_TEST(directory.current(at(11s)).size() == 2U);
@@ -353,13 +353,28 @@
     BOOST_TEST(directory.current(at(20s)).empty());
 }
 
+// Endpoints that had gone in an outage got requests again at each later loss of the store.
+BOOST_AUTO_TEST_CASE(an_entry_that_stayed_away_after_an_outage_does_not_return_in_the_next_one)
+{
+    auto directory = forwarding::endpoint_directory{};
+    directory.list({endpoint("e1"), endpoint("e2")}, at(1s));
+    directory.mark_store_unavailable(at(2s));
+    directory.mark_store_available(at(10s));
+    directory.list({endpoint("e2")}, at(10s));
+    directory.mark_store_unavailable(at(20s));
+    BOOST_TEST(directory.current(at(20s)).size() == 1U);
+    directory.mark_store_available(at(21s));
+    directory.list({endpoint("e2")}, at(21s));
+    BOOST_TEST(directory.current(at(21s)).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_entry_is_not_kept)
 {
     auto directory = forwarding::endpoint_directory{};
     auto leaving = endpoint("e1");
     leaving.is_draining_ = true;
     directory.list({leaving}, at(1s));
-    directory.mark_store_unavailable();
+    directory.mark_store_unavailable(at(2s));
     directory.mark_store_available(at(10s));
     directory.list({}, at(10s));
     BOOST_TEST(directory.current(at(10s)).empty());
--- a/tests/coordination/restored_store.cpp
+++ b/tests/coordination/restored_store.cpp
@@ -130,7 +130,7 @@
     auto directory = forwarding::endpoint_directory{};
     directory.list({endpoint("drained"), endpoint("removed"), endpoint("stays")}, at(1s));
     directory.list({endpoint("drained", true), endpoint("stays")}, at(2s));
-    directory.mark_store_unavailable();
+    directory.mark_store_unavailable(at(2s));
     directory.mark_store_restored(at(3s));
     directory.mark_store_available(at(3s));
     directory.list({endpoint("drained"), endpoint("removed"), endpoint("stays")}, at(3s));
@@ -148,7 +148,7 @@
 {
     auto directory = forwarding::endpoint_directory{};
     directory.list({endpoint("e1")}, at(1s));
-    directory.mark_store_unavailable();
+    directory.mark_store_unavailable(at(2s));
     directory.mark_store_restored(at(3s));
     directory.list({}, at(3s));
     directory.mark_store_available(at(3s));
