platform: Take a route of a low rank as the lowest one

A route with a priority of 10 or more kept the whole configuration out of force: withdrawn keys and moved routes stayed as they were. Endpoints know ten ranks; what lies beyond counts as the last.

platform/codecs/a_route_of_a_low_rank_spoils_no_configuration

--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -98,6 +98,16 @@
 }
 
 /// Guards against registrations of an earlier era or revision that are taken for the current ones.
+// A route of a low rank kept the whole configuration out of force.
+BOOST_AUTO_TEST_CASE(a_route_of_a_low_rank_spoils_no_configuration)
+{
+    auto text = std::string{configuration_text};
+    text.replace(text.find(R"("priority": 1)"), 13, R"("priority": 12)");
+    const auto table = platform::read_routing_table(value(text));
+    BOOST_TEST(table.routes_.front().priority_ == 9);
+    BOOST_TEST(table.generation_.value() == 12U);
+}
+
 BOOST_AUTO_TEST_CASE(a_registration_is_read_again_when_its_object_or_the_era_changes)
 {
     auto reader = platform::endpoint_reader{};
