coordination: Judge whole requests like parts of prompts after crashes

Two endpoints that crashed at one moment got a sound lookup refused at all instances for ten minutes. Instances that started later let a request crash two more endpoints each that all others refused.

Cause: two crashes counted as two proofs whether or not one followed the other, answers did not lift the verdict, and the verdict was told to others only at the moment of a crash.

Contents of requests are judged by part_suspects with limits of their own: crashes in sequence, acquittal by answers, trials, and repetition to other instances, which also learn the pause between trials.

Of coordination/crashing_requests, the two cases named after the failures ask for what the code before did not have.

--- a/libraries/coordination/forwarding/cleared_part.hpp
+++ b/libraries/coordination/forwarding/cleared_part.hpp
@@ -9,6 +9,8 @@
 struct cleared_part {
     state::prompt_part_key part_;
     state::duration began_ago_{0};
+    /// Whether this is the content of whole requests and not a part of prompts.
+    bool is_content_{false};
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -16,7 +16,6 @@
 #include "coordination/forwarding/stalled_attempt.hpp"
 #include "coordination/forwarding/work_exchange.hpp"
 #include "coordination/retry/retry_budget.hpp"
-#include "coordination/suspicion/crash_suspects.hpp"
 #include "coordination/suspicion/part_suspects.hpp"
 #include "coordination/time/clock_source.hpp"
 #include "coordination/time/random_source.hpp"
@@ -45,8 +44,8 @@
 };
 
 inline constexpr auto crashing_part_detail = std::string_view{
-    "Endpoints crashed when they began to answer prompts with a part of this one. Change it before "
-    "sending it again."};
+    "Endpoints crashed when they began to answer this request, or prompts with a part of this one. Change it "
+    "before sending it again."};
 
 /// Makes every decision about forwarded requests: route, owner, version, model, endpoint, retry, resumption
 /// and final response. Performs no input or output. Not thread-safe; all calls come from one thread.
@@ -108,15 +107,14 @@
     auto record_remote_crash(const crash_notice& crash) -> void
     {
         const auto now = clock_.now();
-        suspects_.add_remote(crash.content_, crash.endpoint_, now);
-        part_suspects_.record_crash(
-            {.endpoint_ = crash.endpoint_, .parts_ = crash.parts_, .sent_at_ = now - crash.sent_ago_}, now);
+        record_crash_evidence(crash, now);
     }
 
     /// Records another router's report of an answer that clears a part of prompts.
     auto record_remote_cleared_part(const cleared_part& cleared) -> void
     {
-        part_suspects_.record_answer({cleared.part_}, clock_.now() - cleared.began_ago_);
+        auto& suspects = cleared.is_content_ ? content_suspects_ : part_suspects_;
+        suspects.record_answer({cleared.part_}, clock_.now() - cleared.began_ago_);
     }
 
     /// Sets all instances, this one included, which share the limits that endpoints name.
@@ -147,11 +145,9 @@
     /// Records another router's report of a part that crashes endpoints.
     auto record_remote_blocked_part(const suspicion::blocked_part& blocked) -> void;
 
-    /// The parts of prompts that are not let through, which instances that started later must learn.
-    auto blocked_parts() const -> std::vector<suspicion::blocked_part>
-    {
-        return part_suspects_.blocked_parts(clock_.now());
-    }
+    /// The parts of prompts, and the contents of requests, that are not let through, which instances that
+    /// started later must learn.
+    auto blocked_parts() const -> std::vector<suspicion::blocked_part>;
 
     /// Excludes an endpoint from new requests that announced its shutdown to another instance.
     auto record_remote_leaving(const leaving_endpoint& leaving) -> void
@@ -262,6 +258,10 @@
         std::set<state::instance_id> relays_;
         /// The parts of the prompt that other requests may share.
         std::vector<state::prompt_part_key> shared_parts_;
+        /// The content of the whole request.
+        std::vector<state::prompt_part_key> content_key_;
+        /// Endpoints that crashed before they had begun to answer this request.
+        std::int32_t crashes_{0};
         /// Whether the request shows if blocked parts still crash endpoints.
         bool is_trial_{false};
     };
@@ -327,6 +327,13 @@
     auto judge_failures() -> void;
     auto suspect_failure(const entry& item, const running_attempt& attempt, forward_outcome outcome)
         -> suspected_failure&;
+    /// Records a crash against the parts and the content of a request that was in progress.
+    auto record_crash_evidence(const crash_notice& crash, state::time_point now) -> void;
+    /// Time until a request like this one may be tried again; zero if it is not blocked.
+    auto time_to_trial(const entry& item, state::time_point now) const -> state::duration;
+    /// Blocks what the evidence suffices for. Returns whether there was any.
+    auto block_suspects(suspicion::part_suspects& suspects, const std::string& what, state::time_point now)
+        -> bool;
     /// Records the request as a suspect if its answer had not begun, or only just, when the endpoint crashed.
     auto record_crash(const entry& item, const running_attempt& attempt) -> void;
     /// When the attempt's answer began, if it has gone on for a while since.
@@ -344,7 +351,8 @@
 
     auto is_blocked(const entry& item) const -> bool
     {
-        return !item.is_trial_ && part_suspects_.is_blocked(item.shared_parts_);
+        return !item.is_trial_ && (part_suspects_.is_blocked(item.shared_parts_) ||
+                                   content_suspects_.is_blocked(item.content_key_));
     }
 
     /// How far the running attempt has come, and the parts of its prompt, for the log.
@@ -396,8 +404,8 @@
     work_exchange work_;
 
     std::map<state::service_name, admission::latency_window> windows_;
-    suspicion::crash_suspects suspects_;
     suspicion::part_suspects part_suspects_;
+    suspicion::part_suspects content_suspects_{suspicion::content_evidence_limits};
     std::vector<cleared_part> cleared_parts_;
     relay_peers relay_peers_;
     std::vector<suspected_failure> suspected_failures_;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -329,6 +329,8 @@
         item.is_released_ = true;
     }
     item.excluded_.insert(attempt.endpoint_);
+    if (result.outcome_ == forward_outcome::crashed && !answer_began_at(attempt))
+        ++item.crashes_;
     return attempt;
 }
 
@@ -561,10 +563,11 @@
     if (pause_left(item) > state::duration::zero())
         return false;
     constexpr auto max_unreachable = 6;
+    // Waits for no verdict, so that a request which crashes endpoints crashes two at most by itself.
+    constexpr auto max_crashes = 2;
     if (outcome == forward_outcome::not_sent)
         return item.unreachable_count_ < max_unreachable;
-    if (outcome == forward_outcome::crashed &&
-        (item.is_trial_ || suspects_.is_blocked(item.request_.content_)))
+    if (outcome == forward_outcome::crashed && (item.is_trial_ || item.crashes_ >= max_crashes))
         return false;
     if (is_blocked(item))
         return false;
--- a/libraries/coordination/forwarding/forward_engine_crashes.hpp
+++ b/libraries/coordination/forwarding/forward_engine_crashes.hpp
@@ -27,8 +27,6 @@
 {
     if (answer_began_at(attempt))
         return;
-    // Its own copies wait for no verdict.
-    suspects_.add_local(item.request_.content_, attempt.endpoint_, clock_.now());
     suspect_failure(item, attempt, forward_outcome::crashed).is_suspect_ = true;
 }
 
@@ -38,10 +36,11 @@
 {
     if (std::exchange(attempt.has_cleared_parts_, true))
         return;
-    suspects_.clear(item.request_.content_);
     const auto began_ago = clock_.now() - began_at;
     for (const auto part : part_suspects_.record_answer(item.shared_parts_, began_at))
         cleared_parts_.push_back({.part_ = part, .began_ago_ = began_ago});
+    for (const auto content : content_suspects_.record_answer(item.content_key_, began_at))
+        cleared_parts_.push_back({.part_ = content, .began_ago_ = began_ago, .is_content_ = true});
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -56,18 +55,61 @@
     if (!cleared_parts_.empty())
         port_.announce_cleared_parts(std::exchange(cleared_parts_, {}));
     const auto now = clock_.now();
-    const auto blocked = part_suspects_.judge(now);
-    if (blocked.empty())
+    const auto blocks_parts = block_suspects(part_suspects_, "part", now);
+    const auto blocks_contents = block_suspects(content_suspects_, "content", now);
+    if (!blocks_parts && !blocks_contents)
         return;
-    for (const auto part : blocked) {
-        part_suspects_.postpone_trial(part, now, draw());
-        port_.log(forward_log{.action_ = "block_part",
-                              .reason_ = "endpoints crash when they begin to answer prompts with part " +
-                                         std::to_string(part.value()),
+    port_.announce_blocked_parts(blocked_parts());
+    stop_blocked_requests();
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::block_suspects(suspicion::part_suspects& suspects,
+                                                         const std::string& what, state::time_point now)
+    -> bool
+{
+    const auto blocked = suspects.judge(now);
+    for (const auto key : blocked) {
+        suspects.postpone_trial(key, now, draw());
+        port_.log(forward_log{.action_ = "block_" + what,
+                              .reason_ = "endpoints crash when they begin to answer requests with " + what +
+                                         " " + std::to_string(key.value()),
                               .generation_ = table_->generation_});
     }
-    port_.announce_blocked_parts(part_suspects_.blocked_parts(now));
-    stop_blocked_requests();
+    return !blocked.empty();
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::blocked_parts() const -> std::vector<suspicion::blocked_part>
+{
+    const auto now = clock_.now();
+    auto blocked = part_suspects_.blocked_parts(now);
+    for (auto item : content_suspects_.blocked_parts(now)) {
+        item.is_content_ = true;
+        blocked.push_back(item);
+    }
+    return blocked;
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::record_crash_evidence(const crash_notice& crash,
+                                                                state::time_point now) -> void
+{
+    const auto sent_at = now - crash.sent_ago_;
+    part_suspects_.record_crash({.endpoint_ = crash.endpoint_, .parts_ = crash.parts_, .sent_at_ = sent_at},
+                                now);
+    content_suspects_.record_crash({.endpoint_ = crash.endpoint_,
+                                    .parts_ = {state::prompt_part_key{crash.content_.value()}},
+                                    .sent_at_ = sent_at},
+                                   now);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::time_to_trial(const entry& item, state::time_point now) const
+    -> state::duration
+{
+    return std::max(part_suspects_.time_to_trial(item.shared_parts_, now),
+                    content_suspects_.time_to_trial(item.content_key_, now));
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -90,15 +132,17 @@
     -> void
 {
     const auto now = clock_.now();
-    const auto was_blocked = part_suspects_.is_blocked({blocked.part_});
-    if (part_suspects_.record_remote_block(blocked, now)) {
+    auto& suspects = blocked.is_content_ ? content_suspects_ : part_suspects_;
+    const auto was_blocked = suspects.is_blocked({blocked.part_});
+    if (suspects.record_remote_block(blocked, now)) {
         if (!was_blocked)
             stop_blocked_requests();
         return;
     }
     // The sender has missed the answer that cleared the part.
-    if (const auto cleared_ago = part_suspects_.cleared_ago(blocked.part_, now))
-        cleared_parts_.push_back({.part_ = blocked.part_, .began_ago_ = *cleared_ago});
+    if (const auto cleared_ago = suspects.cleared_ago(blocked.part_, now))
+        cleared_parts_.push_back(
+            {.part_ = blocked.part_, .began_ago_ = *cleared_ago, .is_content_ = blocked.is_content_});
 }
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine_relays.hpp
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -245,17 +245,15 @@
                                   false);
             continue;
         }
-        if (is_own_link) {
-            suspects_.withdraw(failure.content_, attempt.endpoint_);
+        if (is_own_link)
             continue;
-        }
-        part_suspects_.record_crash(
-            {.endpoint_ = attempt.endpoint_, .parts_ = failure.parts_, .sent_at_ = attempt.started_},
-            failure.seen_at_);
-        port_.announce_crash(crash_notice{.endpoint_ = attempt.endpoint_,
-                                          .content_ = failure.content_,
-                                          .parts_ = failure.parts_,
-                                          .sent_ago_ = now - attempt.started_});
+        auto crash = crash_notice{.endpoint_ = attempt.endpoint_,
+                                  .content_ = failure.content_,
+                                  .parts_ = failure.parts_,
+                                  .sent_ago_ = failure.seen_at_ - attempt.started_};
+        record_crash_evidence(crash, failure.seen_at_);
+        crash.sent_ago_ = now - attempt.started_;
+        port_.announce_crash(crash);
     }
 }
 
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -77,18 +77,18 @@
         item.workspace_ = owner->second.workspace_;
         item.priority_ = owner->second.priority_.value_or(item.priority_);
     }
-    if (suspects_.is_blocked(request.content_))
-        return refusal_of(
-            error_kind::no_capacity,
-            "Endpoints crashed while they ran this request. Change it before sending it again.");
     item.shared_parts_ = shared_parts(request);
+    item.content_key_ = {state::prompt_part_key{request.content_.value()}};
     if (is_blocked(item)) {
-        item.is_trial_ = part_suspects_.begin_trial(item.shared_parts_, now, draw());
-        if (!item.is_trial_)
+        const auto time = time_to_trial(item, now);
+        if (time > state::duration::zero())
             return routing::refusal{.kind_ = error_kind::no_capacity,
-                                    .retry_after_ = part_suspects_.time_to_trial(item.shared_parts_, now),
+                                    .retry_after_ = time,
                                     .detail_ = std::string{crashing_part_detail}};
-        port_.announce_blocked_parts(part_suspects_.blocked_parts(now));
+        part_suspects_.begin_trial(item.shared_parts_, now, draw());
+        content_suspects_.begin_trial(item.content_key_, now, draw());
+        item.is_trial_ = true;
+        port_.announce_blocked_parts(blocked_parts());
     }
     auto allowed = route->time_limit_;
     if (request.time_allowed_ > state::duration::zero())
@@ -371,8 +371,8 @@
         port_.ask_for_permits({.wanted_permits_ = std::move(wanted)});
     sweep_waiting(now);
     pins_.forget_old(now);
-    suspects_.forget_old(now);
     part_suspects_.forget_old(now);
+    content_suspects_.forget_old(now);
     pool_.forget_old(now);
     for (const auto& service : roll_outs_.judge(now))
         port_.log(forward_log{.action_ = "halt_version",
--- /dev/null
+++ b/libraries/coordination/suspicion/evidence_limits.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstddef>
+
+namespace buckthorndale::coordination::suspicion {
+
+/// The evidence for a verdict of part_suspects, in crashes. The defaults are for parts of prompts.
+struct evidence_limits {
+    /// By weight. A request is in progress at two by chance often enough, but rarely at three.
+    double min_evidence_{3.0};
+    /// The same for a part on which answers had begun not long before.
+    double min_evidence_against_sound_{4.0};
+    std::size_t min_crashes_{3};
+    /// If two parts were present at the same crashes, another crash may tell them apart.
+    std::size_t min_crashes_in_doubt_{4};
+};
+
+/// For the contents of whole requests. Few requests have the same one, so two crashes in sequence are no
+/// chance.
+inline constexpr auto content_evidence_limits =
+    evidence_limits{.min_evidence_ = 2.0, .min_crashes_ = 2, .min_crashes_in_doubt_ = 3};
+
+} // namespace buckthorndale::coordination::suspicion
--- a/libraries/coordination/suspicion/part_suspects.cpp
+++ b/libraries/coordination/suspicion/part_suspects.cpp
@@ -162,7 +162,7 @@
     constexpr auto rounding = 0.01;
     if (item.sequence_.size() < min_sequence)
         return false;
-    const auto required = item.was_sound_ ? min_evidence_against_sound : min_evidence;
+    const auto required = item.was_sound_ ? limits_.min_evidence_against_sound_ : limits_.min_evidence_;
     auto evidence = rounding;
     for (const auto number : item.crashes_) {
         evidence += weight_of(number);
@@ -183,13 +183,13 @@
         if (item.is_blocked_ || !has_enough_evidence(item, now))
             continue;
         auto crashes = unexplained(item);
-        if (crashes.size() < min_crashes || crashes.size() < best_crashes.size())
+        if (crashes.size() < limits_.min_crashes_ || crashes.size() < best_crashes.size())
             continue;
         is_in_doubt = crashes.size() == best_crashes.size();
         best = part;
         best_crashes = std::move(crashes);
     }
-    if (!best || (is_in_doubt && best_crashes.size() < min_crashes_in_doubt))
+    if (!best || (is_in_doubt && best_crashes.size() < limits_.min_crashes_in_doubt_))
         return std::nullopt;
     return best;
 }
@@ -211,8 +211,10 @@
     auto blocked = std::vector<blocked_part>{};
     for (const auto& [part, item] : suspects_) {
         if (item.is_blocked_)
-            blocked.push_back(
-                {.part_ = part, .crashed_ago_ = now - item.last_crash_, .trial_in_ = item.trial_at_ - now});
+            blocked.push_back({.part_ = part,
+                               .crashed_ago_ = now - item.last_crash_,
+                               .trial_in_ = item.trial_at_ - now,
+                               .trial_interval_ = item.trial_interval_});
     }
     return blocked;
 }
@@ -229,6 +231,7 @@
     item.is_blocked_ = true;
     item.last_crash_ = std::max(item.last_crash_, crashed_at);
     item.trial_at_ = std::max(item.trial_at_, now + blocked.trial_in_);
+    item.trial_interval_ = std::max(item.trial_interval_, blocked.trial_interval_);
     return true;
 }
 
--- a/libraries/coordination/suspicion/part_suspects.hpp
+++ b/libraries/coordination/suspicion/part_suspects.hpp
@@ -2,6 +2,7 @@
 
 #include "coordination/suspicion/blocked_part.hpp"
 #include "coordination/suspicion/crashed_attempt.hpp"
+#include "coordination/suspicion/evidence_limits.hpp"
 #include "state/identifiers.hpp"
 #include "state/units.hpp"
 
@@ -22,10 +23,16 @@
 /// the crashes from the others: no answer on it begins and goes on; it is present at one crash after the
 /// other, among requests that were sent after the one before, while endpoints that fail for another reason do
 /// so at the same time; and it explains the crashes at which the others were present.
+///
+/// The contents of whole requests are judged in the same way, apart from the parts and with other limits.
 class part_suspects {
 public:
     using part_keys = std::vector<state::prompt_part_key>;
 
+    part_suspects() = default;
+
+    explicit part_suspects(const evidence_limits& limits) : limits_{limits} {}
+
     /// Records an attempt of any instance that a crash ended.
     auto record_crash(const crashed_attempt& attempt, state::time_point now) -> void;
 
@@ -103,14 +110,7 @@
     static auto postpone(suspect& item, state::time_point now, double draw) -> void;
     auto drop_oldest() -> void;
 
-    /// Crashes, by weight. A request is in progress at two by chance often enough, but rarely at three.
-    static constexpr double min_evidence{3.0};
-    /// The same for a part on which answers had begun not long before.
-    static constexpr double min_evidence_against_sound{4.0};
     static constexpr std::size_t min_sequence{2};
-    static constexpr std::size_t min_crashes{3};
-    /// If two parts were present at the same crashes, another crash may tell them apart.
-    static constexpr std::size_t min_crashes_in_doubt{4};
     /// Crashes of different endpoints within this time count as one.
     static constexpr state::duration same_cause_time{std::chrono::milliseconds{150}};
     /// Requests are sent again as soon as an instance sees the crash, before the others hear of it.
@@ -127,6 +127,7 @@
     static constexpr state::duration max_trial_interval{std::chrono::minutes{10}};
     static constexpr state::duration retention{std::chrono::minutes{30}};
 
+    evidence_limits limits_;
     std::map<state::prompt_part_key, suspect> suspects_;
     std::deque<crash> crashes_;
     crash_number last_crash_number_{0};
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -289,6 +289,8 @@
         auto cleared = Json::Value{Json::objectValue};
         cleared["part"] = std::to_string(item.part_.value());
         cleared["began_us"] = Json::Int64{item.began_ago_.count()};
+        if (item.is_content_)
+            cleared["is_content"] = true;
         value["cleared_parts"].append(cleared);
     }
     for (const auto& item : message.blocked_parts_) {
@@ -296,6 +298,9 @@
         blocked["part"] = std::to_string(item.part_.value());
         blocked["crashed_us"] = Json::Int64{item.crashed_ago_.count()};
         blocked["trial_us"] = Json::Int64{std::max(item.trial_in_, state::duration::zero()).count()};
+        blocked["interval_us"] = Json::Int64{item.trial_interval_.count()};
+        if (item.is_content_)
+            blocked["is_content"] = true;
         value["blocked_parts"].append(blocked);
     }
     for (const auto& item : message.leaving_) {
@@ -349,12 +354,15 @@
     for (auto& item : reader.children("cleared_parts"))
         message.cleared_parts_.push_back(
             {.part_ = state::prompt_part_key{item.number("part")},
-             .began_ago_ = state::duration{item.integer("began_us", 0, max_value)}});
+             .began_ago_ = state::duration{item.integer("began_us", 0, max_value)},
+             .is_content_ = item.boolean_or("is_content", false)});
     for (auto& item : reader.children("blocked_parts"))
         message.blocked_parts_.push_back(
             {.part_ = state::prompt_part_key{item.number("part")},
              .crashed_ago_ = state::duration{item.integer("crashed_us", 0, max_value)},
-             .trial_in_ = state::duration{item.integer("trial_us", 0, max_value)}});
+             .trial_in_ = state::duration{item.integer("trial_us", 0, max_value)},
+             .trial_interval_ = state::duration{item.integer_or("interval_us", 0, max_value, 0)},
+             .is_content_ = item.boolean_or("is_content", false)});
     for (auto& item : reader.children("leaving"))
         message.leaving_.push_back({.endpoint_ = state::endpoint_id{item.text("endpoint")},
                                     .incarnation_ = item.number("incarnation"),
