--- a/libraries/protocol/event_stream/event_order.hpp
+++ b/libraries/protocol/event_stream/event_order.hpp
@@ -17,8 +17,8 @@
 };
 
 /// Decides whether an event continues a stream of which the caller has everything up to the event with the ID
-/// `last`; empty for none. With `must_be_numbered`, as in streams that another endpoint may continue, an event
-/// without a number is misplaced; comments are not events.
+/// `last`; empty for none. With `must_be_numbered`, as in streams that another endpoint may continue, an
+/// event without a number is misplaced; comments are not events.
 auto judge_event(const raw_event& event, std::string_view last, bool must_be_numbered) -> event_verdict;
 
 } // namespace buckthorndale::protocol::event_stream
--- a/libraries/protocol/json/container_text.cpp
+++ b/libraries/protocol/json/container_text.cpp
@@ -36,7 +36,7 @@
         const auto begin = position_;
         // The closing brackets that are still to come.
         auto open = std::string{};
-        do {
+        while (true) {
             switch (peek()) {
             case '\0':
                 return text_.substr(begin);
@@ -69,8 +69,9 @@
             default:
                 skip_scalar();
             }
-        } while (!open.empty() || !is_at_delimiter());
-        return text_.substr(begin, position_ - begin);
+            if (open.empty() && is_at_delimiter())
+                return text_.substr(begin, position_ - begin);
+        }
     }
 
 private:
@@ -113,18 +114,18 @@
     const auto end = container.is_array_ ? ']' : '}';
     if (!scanner.skip(container.is_array_ ? '[' : '{'))
         return std::nullopt;
-    if (!scanner.skip(end)) {
-        do {
-            auto part = container_text::part{};
-            if (!container.is_array_) {
-                part.name_ = scanner.take_value();
-                if (!scanner.skip(':'))
-                    return std::nullopt;
-            }
-            part.value_ = scanner.take_value();
-            container.parts_.push_back(part);
-        } while (scanner.skip(','));
-        if (!scanner.skip(end))
+    auto has_part = !scanner.skip(end);
+    while (has_part) {
+        auto part = container_text::part{};
+        if (!container.is_array_) {
+            part.name_ = scanner.take_value();
+            if (!scanner.skip(':'))
+                return std::nullopt;
+        }
+        part.value_ = scanner.take_value();
+        container.parts_.push_back(part);
+        has_part = scanner.skip(',');
+        if (!has_part && !scanner.skip(end))
             return std::nullopt;
     }
     if (scanner.peek() != '\0')
