coordination: Refuse copies of a crashing request without delay

Contents need no time to settle, as two crashes in sequence are asked for, and their first trial comes after one to two minutes.

crashing_requests/copies_that_come_at_once_are_refused_after_two_crashes

--- a/libraries/coordination/suspicion/evidence_limits.hpp
+++ b/libraries/coordination/suspicion/evidence_limits.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "state/units.hpp"
+
 #include <cstddef>
 
 namespace buckthorndale::coordination::suspicion {
 
-/// The evidence for a verdict of part_suspects, in crashes. The defaults are for parts of prompts.
+/// The evidence for a verdict of part_suspects, in crashes, and how soon it is put to the test. The defaults
+/// are for parts of prompts.
 struct evidence_limits {
     /// By weight. A request is in progress at two by chance often enough, but rarely at three.
     double min_evidence_{3.0};
@@ -13,11 +16,20 @@
     std::size_t min_crashes_{3};
     /// If two parts were present at the same crashes, another crash may tell them apart.
     std::size_t min_crashes_in_doubt_{4};
+    /// Requests that a crash ended are sent again at once, so a part that causes no crashes is cleared by
+    /// then.
+    state::duration settling_time_{std::chrono::milliseconds{600}};
+    /// Between the verdict and the first trial, which costs another crash if the verdict is right.
+    state::duration first_trial_interval_{std::chrono::seconds{15}};
 };
 
 /// For the contents of whole requests. Few requests have the same one, so two crashes in sequence are no
-/// chance.
+/// chance, and few callers wait for a trial.
 inline constexpr auto content_evidence_limits =
-    evidence_limits{.min_evidence_ = 2.0, .min_crashes_ = 2, .min_crashes_in_doubt_ = 3};
+    evidence_limits{.min_evidence_ = 2.0,
+                    .min_crashes_ = 2,
+                    .min_crashes_in_doubt_ = 3,
+                    .settling_time_ = state::duration::zero(),
+                    .first_trial_interval_ = std::chrono::minutes{1}};
 
 } // namespace buckthorndale::coordination::suspicion
--- a/libraries/coordination/suspicion/part_suspects.cpp
+++ b/libraries/coordination/suspicion/part_suspects.cpp
@@ -126,8 +126,9 @@
         postpone(found->second, now, draw);
 }
 
-auto part_suspects::postpone(suspect& item, state::time_point now, double draw) -> void
+auto part_suspects::postpone(suspect& item, state::time_point now, double draw) const -> void
 {
+    item.trial_interval_ = std::max(item.trial_interval_, limits_.first_trial_interval_);
     // The instances' times differ, so that one begins and the others learn of it.
     const auto spread = std::chrono::duration_cast<state::duration>(item.trial_interval_ * draw);
     item.trial_at_ = now + item.trial_interval_ + spread;
@@ -169,7 +170,7 @@
         if (evidence < required)
             continue;
         const auto found = std::ranges::find(crashes_, number, &crash::number_);
-        return found != crashes_.end() && now - found->at_ >= settling_time;
+        return found != crashes_.end() && now - found->at_ >= limits_.settling_time_;
     }
     return false;
 }
@@ -200,7 +201,7 @@
     while (const auto cause = find_cause(now)) {
         auto& item = suspects_.at(*cause);
         item.is_blocked_ = true;
-        item.trial_at_ = now + item.trial_interval_;
+        item.trial_at_ = now + std::max(item.trial_interval_, limits_.first_trial_interval_);
         found.push_back(*cause);
     }
     return found;
--- a/libraries/coordination/suspicion/part_suspects.hpp
+++ b/libraries/coordination/suspicion/part_suspects.hpp
@@ -92,7 +92,8 @@
         bool was_sound_{false};
         bool is_blocked_{false};
         state::time_point trial_at_{};
-        state::duration trial_interval_{first_trial_interval};
+        /// Until the next trial but one; zero before the first verdict.
+        state::duration trial_interval_{0};
     };
 
     /// Several attempts, at several instances, report the same crash.
@@ -107,7 +108,7 @@
     auto weight_of(crash_number number) const -> double;
     /// The part that explains most crashes, if the evidence suffices.
     auto find_cause(state::time_point now) const -> std::optional<state::prompt_part_key>;
-    static auto postpone(suspect& item, state::time_point now, double draw) -> void;
+    auto postpone(suspect& item, state::time_point now, double draw) const -> void;
     auto drop_oldest() -> void;
 
     static constexpr std::size_t min_sequence{2};
@@ -120,10 +121,6 @@
     static constexpr std::size_t max_suspects{4096};
     /// An endpoint takes seconds to restart, and instances report a crash within a fraction of a second.
     static constexpr state::duration same_crash_time{std::chrono::milliseconds{1500}};
-    /// Requests that a crash ended are sent again at once, so a part that causes no crashes is cleared by
-    /// then.
-    static constexpr state::duration settling_time{std::chrono::milliseconds{600}};
-    static constexpr state::duration first_trial_interval{std::chrono::seconds{15}};
     static constexpr state::duration max_trial_interval{std::chrono::minutes{10}};
     static constexpr state::duration retention{std::chrono::minutes{30}};
 
--- a/tests/coordination/crashing_requests.cpp
+++ b/tests/coordination/crashing_requests.cpp
@@ -76,7 +76,24 @@
     callers.crash_in_sequence(2);
     BOOST_TEST(!callers.send());
     BOOST_REQUIRE(!callers.port_.refusals_.empty());
-    BOOST_CHECK(callers.port_.refusals_.back().retry_after_ > 5s);
+    // Each trial may cost another endpoint.
+    BOOST_CHECK(callers.port_.refusals_.back().retry_after_ > 50s);
+}
+
+// Copies of a request went on crashing endpoints while a verdict was awaited.
+BOOST_AUTO_TEST_CASE(copies_that_come_at_once_are_refused_after_two_crashes)
+{
+    auto callers = same_lookup{};
+    auto crashes = 0;
+    for (auto copy = 0; copy < 7; ++copy) {
+        if (callers.send()) {
+            callers.crash(callers.port_.commands_.size() - 1);
+            ++crashes;
+        }
+        callers.wait(150ms);
+        callers.engine_.tick();
+    }
+    BOOST_TEST(crashes == 2);
 }
 
 // Instances that started later let a request crash endpoints that all others refused.
@@ -95,7 +112,7 @@
 {
     auto callers = same_lookup{};
     callers.crash_in_sequence(2);
-    callers.wait(31s);
+    callers.wait(121s);
     BOOST_REQUIRE(callers.send());
     BOOST_TEST(!callers.send());
     callers.receive_headers(100);
