coordination: Count crashes in sequence, however close, against a request

For contents only crashes that each ended an attempt sent after the one before are evidence, and each counts in full. Endpoints that crash together end attempts that were sent before.

crashing_requests/crashes_of_one_request_and_its_retry_suffice

--- a/libraries/coordination/suspicion/evidence_limits.hpp
+++ b/libraries/coordination/suspicion/evidence_limits.hpp
@@ -16,11 +16,11 @@
     std::size_t min_crashes_{3};
     /// If two parts were present at the same crashes, another crash may tell them apart.
     std::size_t min_crashes_in_doubt_{4};
-    /// Requests that a crash ended are sent again at once, so a part that causes no crashes is cleared by
-    /// then.
-    state::duration settling_time_{std::chrono::milliseconds{600}};
     /// Between the verdict and the first trial, which costs another crash if the verdict is right.
     state::duration first_trial_interval_{std::chrono::seconds{15}};
+    /// Whether only crashes that each ended an attempt sent after the one before are evidence, however close
+    /// in time; otherwise crashes at one time count as one.
+    bool counts_only_sequence_{false};
 };
 
 /// For the contents of whole requests. Few requests have the same one, so two crashes in sequence are no
@@ -29,7 +29,7 @@
     evidence_limits{.min_evidence_ = 2.0,
                     .min_crashes_ = 2,
                     .min_crashes_in_doubt_ = 3,
-                    .settling_time_ = state::duration::zero(),
-                    .first_trial_interval_ = std::chrono::minutes{1}};
+                    .first_trial_interval_ = std::chrono::minutes{1},
+                    .counts_only_sequence_ = true};
 
 } // namespace buckthorndale::coordination::suspicion
--- a/libraries/coordination/suspicion/part_suspects.cpp
+++ b/libraries/coordination/suspicion/part_suspects.cpp
@@ -164,13 +164,15 @@
     if (item.sequence_.size() < min_sequence)
         return false;
     const auto required = item.was_sound_ ? limits_.min_evidence_against_sound_ : limits_.min_evidence_;
+    if (limits_.counts_only_sequence_)
+        return static_cast<double>(item.sequence_.size()) >= required;
     auto evidence = rounding;
     for (const auto number : item.crashes_) {
         evidence += weight_of(number);
         if (evidence < required)
             continue;
         const auto found = std::ranges::find(crashes_, number, &crash::number_);
-        return found != crashes_.end() && now - found->at_ >= limits_.settling_time_;
+        return found != crashes_.end() && now - found->at_ >= settling_time;
     }
     return false;
 }
--- a/libraries/coordination/suspicion/part_suspects.hpp
+++ b/libraries/coordination/suspicion/part_suspects.hpp
@@ -121,6 +121,9 @@
     static constexpr std::size_t max_suspects{4096};
     /// An endpoint takes seconds to restart, and instances report a crash within a fraction of a second.
     static constexpr state::duration same_crash_time{std::chrono::milliseconds{1500}};
+    /// Requests that a crash ended are sent again at once, so a part that causes no crashes is cleared by
+    /// then.
+    static constexpr state::duration settling_time{std::chrono::milliseconds{600}};
     static constexpr state::duration max_trial_interval{std::chrono::minutes{10}};
     static constexpr state::duration retention{std::chrono::minutes{30}};
 
--- a/tests/coordination/crashing_requests.cpp
+++ b/tests/coordination/crashing_requests.cpp
@@ -80,6 +80,27 @@
     BOOST_CHECK(callers.port_.refusals_.back().retry_after_ > 50s);
 }
 
+// A request is sent again at once after a crash, so its crashes lie close together.
+BOOST_AUTO_TEST_CASE(crashes_of_one_request_and_its_retry_suffice)
+{
+    auto callers = same_lookup{};
+    callers.configure(3, {.name_ = "plain",
+                          .host_ = "h",
+                          .path_prefix_ = "/",
+                          .kind_ = state::request_kind::safe,
+                          .max_attempts_ = 3,
+                          .targets_ = {{.service_ = callers.service_}}});
+    BOOST_REQUIRE(callers.send());
+    callers.crash(0);
+    BOOST_REQUIRE(callers.port_.commands_.size() == 2U);
+    callers.wait(10ms);
+    callers.crash(1);
+    BOOST_TEST(callers.port_.commands_.size() == 2U);
+    callers.wait(100ms);
+    callers.engine_.tick();
+    BOOST_TEST(!callers.send());
+}
+
 // Copies of a request went on crashing endpoints while a verdict was awaited.
 BOOST_AUTO_TEST_CASE(copies_that_come_at_once_are_refused_after_two_crashes)
 {
