coordination: Remember answered requests at a constant cost

Since contents of requests are judged after crashes, each answer with a content of its own went through all 4,096 remembered ones once there were so many, and each tick too: stated_limits/the_requests_of_all_instances_together_stay_within_the_limit took over five minutes of processor time.

The older half is dropped at once instead, and what is too old is left out when it is looked up.

crashing_requests/the_answers_of_many_requests_are_remembered_at_a_constant_cost

--- a/libraries/coordination/suspicion/part_suspects.cpp
+++ b/libraries/coordination/suspicion/part_suspects.cpp
@@ -30,7 +30,7 @@
         auto& item = suspects_[part];
         if (item.crashes_.empty()) {
             const auto answered = answered_.find(part);
-            item.was_sound_ = answered != answered_.end() && now - answered->second < sound_memory;
+            item.was_sound_ = answered && now - *answered < sound_memory;
         }
         if (item.crashes_.insert(number).second)
             item.crash_before_ = std::exchange(item.last_crash_, now);
@@ -58,7 +58,7 @@
 {
     auto cleared = part_keys{};
     for (const auto part : parts) {
-        remember(answered_, part, began_at);
+        answered_.record(part, began_at);
         const auto found = suspects_.find(part);
         if (found == suspects_.end() || !drop_refuted_crashes(found->second, began_at))
             continue;
@@ -250,7 +250,6 @@
     const auto is_old = [now](state::time_point time) { return now - time > retention; };
     std::erase_if(suspects_, [&](const auto& item) { return is_old(item.second.last_crash_); });
     std::erase_if(cleared_, [&](const auto& item) { return is_old(item.second); });
-    std::erase_if(answered_, [&](const auto& item) { return now - item.second > sound_memory; });
     while (!crashes_.empty() && is_old(crashes_.front().at_))
         crashes_.pop_front();
 }
--- a/libraries/coordination/suspicion/part_suspects.hpp
+++ b/libraries/coordination/suspicion/part_suspects.hpp
@@ -3,6 +3,7 @@
 #include "coordination/suspicion/blocked_part.hpp"
 #include "coordination/suspicion/crashed_attempt.hpp"
 #include "coordination/suspicion/evidence_limits.hpp"
+#include "coordination/suspicion/recent_times.hpp"
 #include "state/identifiers.hpp"
 #include "state/units.hpp"
 
@@ -134,7 +135,7 @@
     /// When the last answer began that cleared a part.
     std::map<state::prompt_part_key, state::time_point> cleared_;
     /// When the last answer began on a part, suspected or not.
-    std::map<state::prompt_part_key, state::time_point> answered_;
+    recent_times answered_;
 };
 
 } // namespace buckthorndale::coordination::suspicion
--- a/tests/coordination/crashing_requests.cpp
+++ b/tests/coordination/crashing_requests.cpp
@@ -1,3 +1,4 @@
+#include "coordination/suspicion/recent_times.hpp"
 #include "world/forward_fixture.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -154,6 +155,23 @@
     BOOST_TEST(!callers.send());
 }
 
+// Remembering each answered request took time that grew with the number of those remembered.
+BOOST_AUTO_TEST_CASE(the_answers_of_many_requests_are_remembered_at_a_constant_cost)
+{
+    auto times = coordination::suspicion::recent_times{};
+    const auto at = [](std::uint64_t number) { return state::time_point{} + 1ms * number; };
+    const auto key = [](std::uint64_t number) { return state::prompt_part_key{number}; };
+    constexpr auto count = std::uint64_t{1'000'000};
+    for (auto number = std::uint64_t{0}; number < count; ++number)
+        times.record(key(number), at(number));
+    BOOST_TEST((times.find(key(count - 1)) == at(count - 1)));
+    BOOST_TEST((times.find(key(count - 2000)) == at(count - 2000)));
+    BOOST_TEST(!times.find(key(0)).has_value());
+    // An older time does not replace a newer one.
+    times.record(key(count - 1), at(1));
+    BOOST_TEST((times.find(key(count - 1)) == at(count - 1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
