coordination: Take only attempts sent after a crash as its sequel

Two endpoints that crashed together condemned a short request that both were running, if they had got it less than 50 ms before: such an attempt counted as one sent after the first crash.

The slack is for parts of prompts, whose crashes are told by other instances. The instance that sends a request again knows when; for contents it is zero.

crashing_requests/endpoints_that_crash_together_condemn_no_request failed since crashes in sequence count however close.

--- a/libraries/coordination/suspicion/evidence_limits.hpp
+++ b/libraries/coordination/suspicion/evidence_limits.hpp
@@ -18,6 +18,9 @@
     std::size_t min_crashes_in_doubt_{4};
     /// Between the verdict and the first trial, which costs another crash if the verdict is right.
     state::duration first_trial_interval_{std::chrono::seconds{15}};
+    /// Requests are sent again as soon as an instance sees the crash, before the others hear of it; so an
+    /// attempt sent up to this long before counts as one after it.
+    state::duration max_report_delay_{std::chrono::milliseconds{50}};
     /// Whether only crashes that each ended an attempt sent after the one before are evidence, however close
     /// in time; otherwise crashes at one time count as one.
     bool counts_only_sequence_{false};
@@ -30,6 +33,7 @@
                     .min_crashes_ = 2,
                     .min_crashes_in_doubt_ = 3,
                     .first_trial_interval_ = std::chrono::minutes{1},
+                    .max_report_delay_ = state::duration::zero(),
                     .counts_only_sequence_ = true};
 
 } // namespace buckthorndale::coordination::suspicion
--- a/libraries/coordination/suspicion/part_suspects.cpp
+++ b/libraries/coordination/suspicion/part_suspects.cpp
@@ -36,7 +36,7 @@
             item.crash_before_ = std::exchange(item.last_crash_, now);
         // Endpoints that fail together end attempts that were sent before the first of them failed.
         const auto is_next =
-            item.sequence_.empty() || attempt.sent_at_ + max_report_delay > item.crash_before_;
+            item.sequence_.empty() || attempt.sent_at_ + limits_.max_report_delay_ >= item.crash_before_;
         if (is_next && (item.sequence_.empty() || item.sequence_.back() != number))
             item.sequence_.push_back(number);
     }
--- a/libraries/coordination/suspicion/part_suspects.hpp
+++ b/libraries/coordination/suspicion/part_suspects.hpp
@@ -115,8 +115,6 @@
     static constexpr std::size_t min_sequence{2};
     /// Crashes of different endpoints within this time count as one.
     static constexpr state::duration same_cause_time{std::chrono::milliseconds{150}};
-    /// Requests are sent again as soon as an instance sees the crash, before the others hear of it.
-    static constexpr state::duration max_report_delay{std::chrono::milliseconds{50}};
     static constexpr state::duration sound_memory{std::chrono::minutes{1}};
     /// Blocked parts and cleared ones count apart.
     static constexpr std::size_t max_suspects{4096};
--- a/tests/coordination/crashing_requests.cpp
+++ b/tests/coordination/crashing_requests.cpp
@@ -64,6 +64,8 @@
     auto callers = same_lookup{};
     for (auto i = 0; i < 3; ++i)
         BOOST_REQUIRE(callers.send());
+    // A short request may have been sent just before.
+    callers.wait(20ms);
     callers.crash(0);
     callers.crash(1);
     callers.settle();
