--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -258,7 +258,7 @@
         std::set<state::instance_id> relays_;
         /// The parts of the prompt that other requests may share.
         std::vector<state::prompt_part_key> shared_parts_;
-        /// The content of the whole request.
+        /// The content of the whole request, as the one key of content_suspects_.
         std::vector<state::prompt_part_key> content_key_;
         /// Endpoints that crashed before they had begun to answer this request.
         std::int32_t crashes_{0};
--- a/libraries/protocol/json/text.cpp
+++ b/libraries/protocol/json/text.cpp
@@ -1,7 +1,6 @@
 #include "protocol/json/text.hpp"
 
 #include "protocol/json/container_text.hpp"
-#include "protocol/json/partial_value.hpp"
 
 #include <json/reader.h>
 #include <json/writer.h>
--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -13,7 +13,7 @@
 #include "platform/endpoint_reader.hpp"
 #include "platform/object_mirror.hpp"
 #include "platform/store_client.hpp"
-#include "protocol/json/partial_value.hpp"
+#include "protocol/json/unreadable_part.hpp"
 #include "transport/http/client.hpp"
 #include "transport/http/server.hpp"
 #include "transport/logging/logger.hpp"
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -41,7 +41,6 @@
 
 /// A health check waits for a slot like any request.
 constexpr auto identity_timeout = state::duration{std::chrono::seconds{2}};
-constexpr auto connection_is_new = true;
 
 /// Between reports of the same stall, since an endpoint that accepts the stream may appear meanwhile.
 constexpr auto stall_report_interval = state::duration{std::chrono::milliseconds{500}};
@@ -241,11 +240,12 @@
 
 auto network_worker::identify(identify_endpoint action) -> http::awaitable<void>
 {
+    constexpr auto needs_new_connection = true;
     const auto timeouts = http::client::timeouts{.connect_ = probe_timeout, .first_byte_ = identity_timeout};
     auto named = state::endpoint_id{};
     try {
         const auto stream = co_await client_.open(action.address_, platform::probe_request(action.path_),
-                                                  timeouts, connection_is_new);
+                                                  timeouts, needs_new_connection);
         named = platform::read_named_endpoint(stream->head());
         stream->cancel();
     } catch (const http::client_error& fault) {
--- a/tests/processes/instances_cut_off.sh
+++ b/tests/processes/instances_cut_off.sh
@@ -2,11 +2,7 @@
 # An instance that loses its links to all endpoints, while callers, the store and the other instances reach it.
 source "$(dirname "$0")/system.bash" "$1"
 source platform/stand_in/system.bash
-# The log of each process is checked.
-start() {
-    "$build/$1" --settings "$folder/$2.json" >>"$folder/$2.log" &
-    process[$2]=$!
-}
+log_to_files
 start_fronts front-1
 endpoints="engine-1 engine-2 engine-3 desk-1 desk-2"
 break_links() { for endpoint in $endpoints; do break_route "$endpoint" "$1"; done >/dev/null; }
--- a/tests/processes/limits_of_endpoints.sh
+++ b/tests/processes/limits_of_endpoints.sh
@@ -2,11 +2,7 @@
 # An endpoint that names a limit for all instances together.
 source "$(dirname "$0")/system.bash" "$1"
 source platform/stand_in/system.bash
-# The log of each process is checked.
-start() {
-    "$build/$1" --settings "$folder/$2.json" >>"$folder/$2.log" &
-    process[$2]=$!
-}
+log_to_files
 start_fronts
 
 # Sends lookups to one instance for some seconds and prints the statuses. Usage: look_up INSTANCE SECONDS
--- a/tests/processes/system.bash
+++ b/tests/processes/system.bash
@@ -30,6 +30,14 @@
     process[$2]=$!
 }
 
+# Lets each process that is started from now on log to a file of its own, FOLDER/NAME.log.
+log_to_files() {
+    start() {
+        "$build/$1" --settings "$folder/$2.json" >>"$folder/$2.log" &
+        process[$2]=$!
+    }
+}
+
 clean_up() {
     local name
     for name in "${!process[@]}"; do
--- a/tests/processes/unreadable_instances.sh
+++ b/tests/processes/unreadable_instances.sh
@@ -2,11 +2,7 @@
 # An entry that cannot be read, among those of the instances, keeps no instance from passing requests on to the others.
 source "$(dirname "$0")/system.bash" "$1"
 source platform/stand_in/system.bash
-# The log of each process is checked.
-start() {
-    "$build/$1" --settings "$folder/$2.json" >>"$folder/$2.log" &
-    process[$2]=$!
-}
+log_to_files
 start_fronts front-1
 instances="http://127.0.0.1:$(port 0)/objects/buckthorndale-instances"
 # Usage: put_instance NAME SPEC
--- a/tests/protocol/codecs.cpp
+++ b/tests/protocol/codecs.cpp
@@ -3,7 +3,6 @@
 #include "protocol/codec/bill_codec.hpp"
 #include "protocol/codec/configuration_codec.hpp"
 #include "protocol/event_stream/parser.hpp"
-#include "protocol/json/partial_value.hpp"
 #include "protocol/json/text.hpp"
 #include "protocol/rpc/message_codec.hpp"
 #include "state/error.hpp"
