--- a/libraries/coordination/forwarding/forward_settings.hpp
+++ b/libraries/coordination/forwarding/forward_settings.hpp
@@ -19,6 +19,10 @@
     state::duration shutdown_grace_period_{std::chrono::seconds{3}};
     /// Off only in the test that measures the effect of the latency window.
     bool uses_latency_window_{true};
+    /// Whether workspaces share the endpoints fairly while requests wait.
+    bool shares_by_workspace_{false};
+    /// Whether the load that each endpoint takes well is learned from its answers.
+    bool learns_capacity_{false};
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -20,7 +20,9 @@
 {
     return {.instance_ = settings.instance_,
             .data_centre_ = settings.data_centre_,
-            .session_lifetime_ = settings.session_lifetime_};
+            .session_lifetime_ = settings.session_lifetime_,
+            .shares_by_workspace_ = settings.shares_by_workspace_,
+            .learns_capacity_ = settings.learns_capacity_};
 }
 
 } // namespace
--- a/services/front/front_settings.hpp
+++ b/services/front/front_settings.hpp
@@ -6,6 +6,7 @@
 #include "state/units.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,14 @@
     state::duration configuration_delay_{std::chrono::seconds{2}};
     state::duration endpoints_delay_{std::chrono::seconds{2}};
     state::duration roll_outs_delay_{std::chrono::seconds{5}};
+    /// The same for operators' orders to empty a data centre; unset if no such orders are given here.
+    std::optional<state::duration> evacuations_delay_;
+    /// Whether workspaces share the endpoints fairly while requests wait.
+    bool shares_by_workspace_{false};
+    /// Whether the load that each endpoint takes well is learned from its answers.
+    bool learns_capacity_{false};
+    /// The memory that the process may use, in MB; 0 if it is not limited.
+    std::int64_t memory_mb_{0};
     protocol::settings::log_settings log_;
 };
 
