front: Send nothing to emptied data centres and spare cold endpoints

Operators' orders to empty a data centre had no effect, and endpoints that had just started got as many requests as any other.

The orders are a further kind of objects, followed like the configuration where the settings state within which time they must be in force. Endpoints of an emptied data centre get no first try, repetition, rest of a stream, larger model, probe or identity check; what runs there goes on. An instance is not ready before it knows the orders. Watchers of an older build do not know the kind, so an instance among these reads it from the store itself.

Cold endpoints are known from their entries, from answers to health checks, and assumed after a start that no entry speaks of and when a data centre is given back. All instances take turns there, in the order that serves stated limits, at three quarters of what the service's configuration allows, and the rate is doubled in steps afterwards.

--- a/libraries/coordination/forwarding/endpoint_notice.hpp
+++ b/libraries/coordination/forwarding/endpoint_notice.hpp
@@ -21,6 +21,8 @@
     /// How many requests a second the endpoint can turn away before it fails; 0 if it does not say so, and
     /// unset if the response does not tell.
     std::optional<double> max_declines_;
+    /// How long the endpoint stays cold; unset if the response does not tell.
+    std::optional<state::duration> cold_left_;
     /// The first header value that could not be read; empty if there was none.
     std::string invalid_value_;
 
--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -87,7 +87,8 @@
 
 auto endpoint_pool::is_candidate(const entry& known, const pool_query& query) const -> bool
 {
-    const auto is_available = known.is_listed_ && !identities_.is_replaced(known.endpoint_.id_) &&
+    const auto is_available = known.is_listed_ && !is_emptied(known.endpoint_) &&
+                              !identities_.is_replaced(known.endpoint_.id_) &&
                               !known.endpoint_.is_draining_ && !leaving_.includes(known.endpoint_);
     return is_available && known.endpoint_.service_ == query.service_ &&
            query.version_.allows(known.endpoint_.version_);
@@ -138,9 +139,9 @@
 {
     if (!brittle_.has_room(known.endpoint_, known.own_in_flight_))
         return now + room_wait;
-    return std::max({pauses_.next_request_at(known.endpoint_.id_, now),
-                     limits_.next_request_at(known.endpoint_, now),
-                     brittle_.next_request_at(known.endpoint_, now)});
+    return std::max(
+        {pauses_.next_request_at(known.endpoint_.id_, now), limits_.next_request_at(known.endpoint_, now),
+         brittle_.next_request_at(known.endpoint_, now), cold_.next_request_at(known.endpoint_, now)});
 }
 
 auto endpoint_pool::due_for_check(const std::vector<const entry*>& usable, const pool_query& query,
@@ -162,9 +163,9 @@
     for (const auto& [id, known] : entries_) {
         if (!is_candidate(known, query))
             continue;
-        const auto time =
-            std::max({pauses_.next_request_at(id, now), limits_.next_turn_at(known.endpoint_, now),
-                      brittle_.next_request_at(known.endpoint_, now)});
+        const auto time = std::max(
+            {pauses_.next_request_at(id, now), limits_.next_turn_at(known.endpoint_, now),
+             brittle_.next_request_at(known.endpoint_, now), cold_.next_turn_at(known.endpoint_, now)});
         earliest = std::min(earliest.value_or(time), time);
     }
     return earliest;
@@ -173,8 +174,12 @@
 auto endpoint_pool::record_unmet(const pool_query& query, state::time_point now) -> void
 {
     for (const auto& [id, known] : entries_) {
-        if (is_candidate(known, query) && limits_.next_request_at(known.endpoint_, now) > now)
+        if (!is_candidate(known, query))
+            continue;
+        if (limits_.next_request_at(known.endpoint_, now) > now)
             limits_.record_unmet(known.endpoint_, now);
+        if (cold_.next_request_at(known.endpoint_, now) > now)
+            cold_.turns().record_unmet(known.endpoint_, now);
     }
 }
 
@@ -211,7 +216,7 @@
 }
 
 auto endpoint_pool::least_loaded(const std::vector<const entry*>& usable, const pool_query& query,
-                                 state::time_point now, std::uint64_t random) -> const entry*
+                                 state::time_point now, std::uint64_t random) const -> const entry*
 {
     const auto bound = max_objective_ratio(usable, now);
     // Endpoints that were tried before or are ejected are used only when there is no other; ejected ones are
@@ -223,16 +228,17 @@
         const auto is_far = known->endpoint_.data_centre_ != query.data_centre_;
         const auto is_slow = decayed_objective_ratio(*known, now) > bound;
         const auto load = known->own_in_flight_ + (is_far ? 1 : 0) + (is_slow ? 1 : 0);
-        return std::tuple{was_tried, is_left_out, load, state::stable_hash(id.text(), random)};
+        return std::tuple{was_tried, is_left_out, is_avoided(*known, query, now), load,
+                          state::stable_hash(id.text(), random)};
     };
     return *std::ranges::min_element(usable, {}, rank);
 }
 
 auto endpoint_pool::choose_by_affinity(const std::vector<const entry*>& usable, const pool_query& query,
-                                       state::time_point now) -> pool_choice
+                                       state::time_point now) const -> pool_choice
 {
-    // Tried before, ejected, slow, far. Ties are broken by a hash that is the same on every router.
-    using penalties = std::tuple<bool, bool, bool, bool>;
+    // Tried before, ejected, cold, slow, far. Ties are broken by a hash that is the same on every router.
+    using penalties = std::tuple<bool, bool, bool, bool, bool>;
 
     struct candidate {
         penalties penalties_;
@@ -246,12 +252,13 @@
     ranked.reserve(usable.size());
     for (const auto* known : usable) {
         const auto& id = known->endpoint_.id_;
-        ranked.push_back({.penalties_ = {query.excluded_.contains(id), is_ejected(*known, now),
-                                         decayed_objective_ratio(*known, now) > bound,
-                                         query.stays_in_data_centre_ &&
-                                             known->endpoint_.data_centre_ != query.data_centre_},
-                          .hash_ = state::stable_hash(id.text(), affinity),
-                          .entry_ = known});
+        ranked.push_back(
+            {.penalties_ = {query.excluded_.contains(id), is_ejected(*known, now),
+                            is_avoided(*known, query, now), decayed_objective_ratio(*known, now) > bound,
+                            query.stays_in_data_centre_ &&
+                                known->endpoint_.data_centre_ != query.data_centre_},
+             .hash_ = state::stable_hash(id.text(), affinity),
+             .entry_ = known});
     }
     const auto rank = [](const candidate& item) { return std::pair{item.penalties_, item.hash_}; };
     const auto candidate_count = std::min(ranked.size(), max_affinity_candidates);
@@ -306,6 +313,7 @@
     pauses_.record_sent(id, now);
     limits_.record_sent(known.endpoint_, now);
     brittle_.record_sent(known.endpoint_, now);
+    cold_.record_sent(known.endpoint_, now);
     ++known.own_in_flight_;
     known.own_pending_ += work;
 }
@@ -497,7 +505,7 @@
     auto probes = std::vector<state::endpoint_id>{};
     auto siblings = std::vector<entry*>{};
     for (auto& [id, known] : entries_) {
-        if (!known.is_listed_ || probes.size() >= max_probes)
+        if (!known.is_listed_ || is_emptied(known.endpoint_) || probes.size() >= max_probes)
             continue;
         if (known.is_unreachable_) {
             if (known.ejected_until_ > now)
@@ -568,6 +576,35 @@
     return leaving_.add(leaving, now) ? std::optional{leaving} : std::nullopt;
 }
 
+auto endpoint_pool::permits_of(const state::endpoint_id& id) -> endpoint_limits&
+{
+    const auto* known = find(id);
+    return known != nullptr && !limits_.is_limited(*known) && !cold_.is_empty() ? cold_.turns() : limits_;
+}
+
+auto endpoint_pool::endpoints_in(const state::data_centre_id& data_centre) const
+    -> std::vector<const state::registered_endpoint*>
+{
+    auto found = std::vector<const state::registered_endpoint*>{};
+    for (const auto& [id, known] : entries_) {
+        if (known.is_listed_ && known.endpoint_.data_centre_ == data_centre)
+            found.push_back(&known.endpoint_);
+    }
+    return found;
+}
+
+auto endpoint_pool::in_flight_at_emptied() const -> std::size_t
+{
+    if (emptied_.empty())
+        return 0;
+    auto sum = std::size_t{0};
+    for (const auto& [id, known] : entries_) {
+        if (is_emptied(known.endpoint_))
+            sum += static_cast<std::size_t>(known.own_in_flight_);
+    }
+    return sum;
+}
+
 auto endpoint_pool::in_flight(const state::service_name& service) const -> std::int32_t
 {
     auto sum = std::int32_t{0};
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/forwarding/brittle_endpoints.hpp"
+#include "coordination/forwarding/cold_endpoints.hpp"
 #include "coordination/forwarding/endpoint_identities.hpp"
 #include "coordination/forwarding/endpoint_limits.hpp"
 #include "coordination/forwarding/endpoint_pauses.hpp"
@@ -31,6 +32,8 @@
     /// Whether a cached prefix in another data centre is worth less than the bytes to send there.
     bool stays_in_data_centre_{false};
     std::set<state::endpoint_id> excluded_;
+    /// Whether a cold endpoint is used only when there is no other.
+    bool avoids_cold_{false};
     /// The time to first byte at an endpoint with an empty queue.
     state::duration work_{0};
     /// The part of `work_` spent on the prefix that requests with the same affinity share. An endpoint that
@@ -70,6 +73,9 @@
     /// Records a request that no endpoint may get for want of a permit.
     auto record_unmet(const pool_query& query, state::time_point now) -> void;
 
+    /// Whether some endpoint takes no request right now for all that it or its entry states.
+    auto has_limits() const -> bool { return has_stated_limits() || !cold_.is_empty(); }
+
     /// Whether some endpoint has stated how much it takes, or that it takes nothing for a while.
     auto has_stated_limits() const -> bool
     {
@@ -166,6 +172,7 @@
                        state::time_point now) -> void
     {
         brittle_.set_instance_count(all.size());
+        cold_.set_instances(own, all, now);
         limits_.set_instances(own, std::move(all), now);
     }
 
@@ -177,8 +184,38 @@
     /// The endpoints that fail when they have to turn away requests.
     auto brittle() -> brittle_endpoints& { return brittle_; }
 
+    /// The endpoints that bear less than usual after a start.
+    auto cold() -> cold_endpoints& { return cold_; }
+
+    auto cold() const -> const cold_endpoints& { return cold_; }
+
+    /// The permits for an endpoint's turns, whether it names a limit or is cold.
+    auto permits_of(const state::endpoint_id& id) -> endpoint_limits&;
+
+    /// Sets the data centres whose endpoints are to get nothing. Requests that run there go on.
+    auto set_emptied(std::set<state::data_centre_id> data_centres) -> void
+    {
+        emptied_ = std::move(data_centres);
+    }
+
+    auto emptied() const -> const std::set<state::data_centre_id>& { return emptied_; }
+
+    /// Whether the endpoint is to get nothing, not even a probe.
+    auto is_emptied(const state::registered_endpoint& endpoint) const -> bool
+    {
+        return emptied_.contains(endpoint.data_centre_);
+    }
+
+    /// The listed endpoints of a data centre.
+    auto endpoints_in(const state::data_centre_id& data_centre) const
+        -> std::vector<const state::registered_endpoint*>;
+
+    /// This router's requests that still run at endpoints of data centres that are being emptied.
+    auto in_flight_at_emptied() const -> std::size_t;
+
     auto forget_old(state::time_point now) -> void
     {
+        cold_.advance(now);
         leaving_.forget_old(now);
         pauses_.forget_old(now);
         limits_.forget_old(now);
@@ -223,15 +260,15 @@
     /// The time until the endpoint starts on a new request.
     static auto queueing_delay(const entry& known, const pool_query& query) -> state::duration;
     /// The endpoint with the least load, for requests without affinity.
-    static auto least_loaded(const std::vector<const entry*>& usable, const pool_query& query,
-                             state::time_point now, std::uint64_t random) -> const entry*;
+    auto least_loaded(const std::vector<const entry*>& usable, const pool_query& query, state::time_point now,
+                      std::uint64_t random) const -> const entry*;
     /// The preferred endpoint of the affinity key, or another one where the lower delay is worth the cache
     /// miss.
     ///
     /// Load pattern: hundreds of endpoints in several data centres, and short prefixes, which take less time
     /// to read again than the bytes between data centres are worth.
-    static auto choose_by_affinity(const std::vector<const entry*>& usable, const pool_query& query,
-                                   state::time_point now) -> pool_choice;
+    auto choose_by_affinity(const std::vector<const entry*>& usable, const pool_query& query,
+                            state::time_point now) const -> pool_choice;
     /// Endpoints with a higher objective ratio than this rank behind the others.
     static auto max_objective_ratio(const std::vector<const entry*>& usable, state::time_point now) -> double;
 
@@ -248,6 +285,13 @@
     /// Whether the endpoint is left out for now.
     static auto is_ejected(const entry& known, state::time_point now) -> bool;
     auto drop_unused() -> void;
+
+    /// Whether a request that is to avoid cold endpoints would meet one.
+    auto is_avoided(const entry& known, const pool_query& query, state::time_point now) const -> bool
+    {
+        return query.avoids_cold_ && cold_.is_cold(known.endpoint_, now);
+    }
+
     auto find_entry(const state::endpoint_id& id) -> entry*;
 
     std::map<state::endpoint_id, entry> entries_;
@@ -262,6 +306,8 @@
     endpoint_pauses pauses_;
     endpoint_limits limits_;
     brittle_endpoints brittle_;
+    cold_endpoints cold_;
+    std::set<state::data_centre_id> emptied_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission/latency_window.hpp"
+#include "coordination/forwarding/endpoint_counts.hpp"
 #include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_pool.hpp"
 #include "coordination/forwarding/first_byte_forecast.hpp"
@@ -72,6 +73,7 @@
         pool_.update(endpoints);
         for (const auto& endpoint : endpoints)
             pool_.brittle().record_listed(endpoint, clock_.now(), draw());
+        record_cold_endpoints(endpoints);
         roll_outs_.record_fleet_sizes(endpoints);
         has_endpoints_ = true;
     }
@@ -82,6 +84,10 @@
         has_roll_outs_ = true;
     }
 
+    /// Sets the data centres that operators want emptied. Their endpoints get no request, repetition, rest of
+    /// a stream or probe from now on; what runs there goes on.
+    auto update_emptied_data_centres(std::set<state::data_centre_id> data_centres) -> void;
+
     auto hear(const state::instance_id& from, report_scope scope, const roll_out_report& report) -> void
     {
         roll_outs_.hear(from, scope, report, clock_.now());
@@ -139,8 +145,13 @@
     /// The limits that instances which missed the news must learn.
     auto known_limits() const -> limit_message { return {.limits_ = pool_.limits().news(clock_.now())}; }
 
-    /// The number of endpoints that name a limit.
-    auto limited_endpoints() const -> std::size_t { return pool_.limits().size(); }
+    auto endpoint_counts() const -> forwarding::endpoint_counts
+    {
+        return {.limited_ = pool_.limits().size(),
+                .cold_ = pool_.cold().size(clock_.now()),
+                .emptied_data_centres_ = pool_.emptied().size(),
+                .running_at_emptied_ = pool_.in_flight_at_emptied()};
+    }
 
     /// Records another router's report of a part that crashes endpoints.
     auto record_remote_blocked_part(const suspicion::blocked_part& blocked) -> void;
@@ -177,10 +188,12 @@
             stop_began_ = clock_.now();
     }
 
-    /// Whether the configuration, endpoints and roll-outs are known and no shutdown has begun.
+    /// Whether the configuration, endpoints, roll-outs and emptied data centres are known and no shutdown has
+    /// begun.
     auto is_ready() const -> bool
     {
-        return table_->generation_ > state::generation{} && has_endpoints_ && has_roll_outs_ && !stop_began_;
+        return table_->generation_ > state::generation{} && has_endpoints_ && has_roll_outs_ &&
+               (has_emptied_data_centres_ || !settings_.follows_emptying_) && !stop_began_;
     }
 
     auto size() const -> std::size_t { return entries_.size(); }
@@ -303,6 +316,7 @@
     auto apply_stated_rates(const state::registered_endpoint& endpoint, const endpoint_notice& notice)
         -> void;
     auto log_limit(const limit_news& news, const std::string& source) -> void;
+    auto record_cold_endpoints(const std::vector<state::registered_endpoint>& endpoints) -> void;
     auto announce_decline(const running_attempt& attempt) -> void;
     /// Whether the request should go to another instance, since the chosen endpoint is out of reach.
     auto should_relay(const entry& item, const state::service_name& service,
@@ -396,6 +410,7 @@
     bool is_fresh_{false};
     bool has_endpoints_{false};
     bool has_roll_outs_{false};
+    bool has_emptied_data_centres_{false};
     endpoint_pool pool_;
     service_roll_outs roll_outs_;
     session_pins pins_;
--- a/libraries/coordination/forwarding/forward_engine_relays.hpp
+++ b/libraries/coordination/forwarding/forward_engine_relays.hpp
@@ -163,7 +163,8 @@
 auto forward_engine<Clock, Random, Port>::check_identities() -> void
 {
     for (const auto& id : pool_.identities().take_checks(clock_.now())) {
-        if (const auto* endpoint = pool_.find(id))
+        const auto* endpoint = pool_.find(id);
+        if (endpoint != nullptr && !pool_.is_emptied(*endpoint))
             port_.identify(id, endpoint->address_, table_->health_path(endpoint->service_));
     }
 }
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -16,8 +16,10 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::configure(std::shared_ptr<const state::routing_table> table) -> void
 {
-    if (table->generation_ > table_->generation_)
-        table_ = std::move(table);
+    if (table->generation_ <= table_->generation_)
+        return;
+    table_ = std::move(table);
+    pool_.cold().configure(table_->cold_starts_, clock_.now());
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -154,6 +156,7 @@
                                      default_token_time(item.route_, model) * shared_prompt_length(request) <
                                          min_time_saved_elsewhere,
             .excluded_ = item.excluded_,
+            .avoids_cold_ = item.priority_ == 0,
             .work_ = forecast(prompt_length(request)),
             .shared_work_ = forecast(shared_prompt_length(request))};
 }
@@ -237,7 +240,7 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::pause_left(const entry& item) -> state::duration
 {
-    if (!pool_.has_stated_limits())
+    if (!pool_.has_limits())
         return {};
     const auto now = clock_.now();
     auto earliest = std::optional<state::time_point>{};
@@ -367,7 +370,10 @@
     sweep_late_relays(now);
     resume_waiting_streams();
     dispatch_queued();
-    if (auto wanted = pool_.limits().wanted_permits(now); !wanted.empty())
+    auto wanted = pool_.limits().wanted_permits(now);
+    for (auto& item : pool_.cold().turns().wanted_permits(now))
+        wanted.push_back(std::move(item));
+    if (!wanted.empty())
         port_.ask_for_permits({.wanted_permits_ = std::move(wanted)});
     sweep_waiting(now);
     pins_.forget_old(now);
--- a/libraries/coordination/forwarding/forward_settings.hpp
+++ b/libraries/coordination/forwarding/forward_settings.hpp
@@ -19,6 +19,9 @@
     state::duration shutdown_grace_period_{std::chrono::seconds{3}};
     /// Off only in the test that measures the effect of the latency window.
     bool uses_latency_window_{true};
+    /// Whether operators may order to empty data centres, so that an instance is not ready before it knows
+    /// the orders.
+    bool follows_emptying_{false};
     /// Whether workspaces share the endpoints fairly while requests wait.
     bool shares_by_workspace_{false};
     /// Whether the load that each endpoint takes well is learned from its answers.
--- a/libraries/state/registered_endpoint.hpp
+++ b/libraries/state/registered_endpoint.hpp
@@ -2,8 +2,10 @@
 
 #include "state/identifiers.hpp"
 #include "state/network_address.hpp"
+#include "state/units.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace buckthorndale::state {
 
@@ -21,6 +23,10 @@
     std::uint64_t incarnation_{0};
     /// The order of the registrations; 0 when unknown.
     std::uint64_t registered_at_{0};
+    /// How much longer the endpoint is cold, as of the entry; unset if the entry does not say.
+    std::optional<duration> cold_left_;
+    /// The store's revision of the entry; 0 when unknown.
+    std::uint64_t entry_revision_{0};
 
     auto operator==(const registered_endpoint&) const -> bool = default;
 };
--- a/libraries/state/routing_table.hpp
+++ b/libraries/state/routing_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "state/cold_start.hpp"
 #include "state/identifiers.hpp"
 #include "state/route.hpp"
 #include "state/units.hpp"
@@ -40,6 +41,8 @@
     std::map<service_name, std::string> probe_paths_;
     /// The path of the services' health checks, whose answers name the endpoint.
     std::map<service_name, std::string> health_paths_;
+    /// The services whose endpoints bear less while they are cold.
+    std::map<service_name, cold_start> cold_starts_;
     /// Whether requests require a key.
     bool needs_keys_{false};
 
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -69,6 +69,13 @@
                  .on_change_ = [this] { apply_roll_outs(); },
                  .currency_ = coordination::membership::currency{currency_limits{settings.roll_outs_delay_}},
                  .check_wake_ = std::make_unique<transport::ring::notifier>(worker_.context())},
+      emptied_data_centres_{.kind_ = object_kind::emptied_data_centres,
+                            .mirror_ =
+                                platform::object_mirror{std::string{platform::kind::emptied_data_centres}},
+                            .on_change_ = [this] { apply_emptied_data_centres(); },
+                            .currency_ = coordination::membership::currency{currency_limits{
+                                settings.emptying_delay_.value_or(settings.roll_outs_delay_)}},
+                            .check_wake_ = std::make_unique<transport::ring::notifier>(worker_.context())},
       directory_timer_{worker_.context()},
       from_decision_{ring_capacity, worker_.context(), [this](control_action& action) { perform(action); }}
 {}
@@ -114,7 +121,10 @@
 
 auto control_worker::kinds() -> std::vector<followed_kind*>
 {
-    return {&configuration_, &endpoints_, &roll_outs_};
+    auto kinds = std::vector{&configuration_, &endpoints_, &roll_outs_};
+    if (settings_.emptying_delay_)
+        kinds.push_back(&emptied_data_centres_);
+    return kinds;
 }
 
 auto control_worker::sleep(state::duration time) -> http::awaitable<void>
@@ -131,7 +141,10 @@
 
 auto control_worker::kinds() const -> std::vector<const followed_kind*>
 {
-    return {&configuration_, &endpoints_, &roll_outs_};
+    auto kinds = std::vector<const followed_kind*>{&configuration_, &endpoints_, &roll_outs_};
+    if (settings_.emptying_delay_)
+        kinds.push_back(&emptied_data_centres_);
+    return kinds;
 }
 
 auto control_worker::find_kind(std::string_view name) -> followed_kind*
@@ -215,6 +228,20 @@
     post_to_decision(roll_outs_published{orders_.current()});
 }
 
+auto control_worker::apply_emptied_data_centres() -> void
+{
+    // The name of an entry is the data centre; nothing else in it matters.
+    auto published = emptied_data_centres_published{};
+    auto text = std::string{};
+    for (const auto& [name, object] : emptied_data_centres_.mirror_.objects()) {
+        published.data_centres_.insert(state::data_centre_id{name});
+        text.append(text.empty() ? "" : ",").append(name);
+    }
+    log_.info("emptied data centres in force " + text_of(emptied_data_centres_.mirror_.position()) +
+              " data_centres=\"" + text + "\"");
+    post_to_decision(std::move(published));
+}
+
 auto control_worker::perform(control_action& action) -> void
 {
     std::visit(state::overloaded{
--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -72,6 +72,8 @@
         state::store_position hinted_;
         bool is_lost_{true};
         state::time_point lost_since_{};
+        /// Until then this instance watches the kind itself, because its watchers do not serve it.
+        state::time_point watched_until_{};
         /// The watcher that was queried last.
         std::optional<state::network_address> watcher_;
         /// Ends the watch of the store that is waiting, if any.
@@ -107,6 +109,12 @@
 
     auto watches_store() const -> bool { return watchers_.is_watcher() || clock_.now() < watches_until_; }
 
+    /// Whether this instance follows the kind in the store rather than through other instances.
+    auto watches(const followed_kind& kind) const -> bool
+    {
+        return watches_store() || clock_.now() < kind.watched_until_;
+    }
+
     auto is_fresh() const -> bool;
     auto follow_store_until_fault(followed_kind& kind) -> transport::http::awaitable<void>;
     /// Watches the store like store_client::watch(), but fails when learn_era() ends the watch.
@@ -129,6 +137,7 @@
     auto publish_endpoints() -> void;
     auto schedule_endpoint_expiry() -> void;
     auto apply_roll_outs() -> void;
+    auto apply_emptied_data_centres() -> void;
     auto instance_spec() const -> Json::Value;
     /// Tells the decision worker which instances there are.
     auto publish_instances() -> void;
@@ -180,6 +189,7 @@
     followed_kind configuration_;
     followed_kind endpoints_;
     followed_kind roll_outs_;
+    followed_kind emptied_data_centres_;
     platform::endpoint_reader endpoint_reader_;
     forwarding::endpoint_directory directory_;
     forwarding::roll_out_directory orders_;
--- a/services/front/control_worker_currency.cpp
+++ b/services/front/control_worker_currency.cpp
@@ -32,8 +32,8 @@
 auto control_worker::check_currency(followed_kind& kind) -> http::awaitable<void>
 {
     while (true) {
-        if (!watches_store() || kind.is_lost_) {
-            co_await sleep(watches_store() ? retry_interval : idle_interval);
+        if (!watches(kind) || kind.is_lost_) {
+            co_await sleep(watches(kind) ? retry_interval : idle_interval);
             continue;
         }
         const auto hinted = std::exchange(kind.hinted_, {});
@@ -122,7 +122,7 @@
         return;
     for (const auto& item : message.confirmations_) {
         auto* kind = find_kind(item.kind_);
-        if (kind == nullptr || kind->is_lost_ || !watches_store())
+        if (kind == nullptr || kind->is_lost_ || !watches(*kind))
             continue;
         const auto own = membership::copy_state{.position_ = kind->mirror_.position(),
                                                 .fingerprint_ = kind->mirror_.fingerprint()};
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -102,8 +102,8 @@
         const auto may_begin = are_instances_known_ || clock_.now() - started_at > instances_timeout;
         // While the store is unreachable, only the configuration is retried, to save calls.
         const auto waits_for_other = &kind != &configuration_ && configuration_.is_lost_;
-        if (!may_begin || !watches_store() || waits_for_other) {
-            co_await sleep(may_begin && !watches_store() ? idle_interval : poll_interval);
+        if (!may_begin || !watches(kind) || waits_for_other) {
+            co_await sleep(may_begin && !watches(kind) ? idle_interval : poll_interval);
             continue;
         }
         auto has_failed = false;
@@ -133,14 +133,14 @@
     while (true) {
         // While no watcher confirms that it reaches the store, only the list of endpoints is requested.
         const auto waits_for_other = &kind != &endpoints_ && endpoints_.is_lost_;
-        if (!watches_store() && !waits_for_other) {
+        if (!watches(kind) && !waits_for_other) {
             for (const auto& watcher : watchers_.sources())
                 co_await follow_watcher_until_fault(kind, watcher);
         }
-        if (!watches_store() && !waits_for_other && fallback_.may_ask_store(clock_.now()))
+        if (!watches(kind) && !waits_for_other && fallback_.may_ask_store(clock_.now()))
             co_await try_watching_store();
         else
-            co_await sleep(watches_store() ? idle_interval : watcher_retry_interval);
+            co_await sleep(watches(kind) ? idle_interval : watcher_retry_interval);
     }
 }
 
@@ -164,7 +164,7 @@
 {
     // The first request does not wait for updates, so that an unresponsive watcher is detected soon.
     auto wait_timeout = state::duration{0};
-    while (!watches_store()) {
+    while (!watches(kind)) {
         kind.watcher_ = watcher;
         const auto is_confirmed = co_await fetch_from_peer(
             kind, watcher, std::exchange(wait_timeout, kind.currency_.limits().follower_wait()));
@@ -209,7 +209,7 @@
     record_confirmation(kind, asked_at, listing.position_);
     mark_regained(kind);
     apply_changes(kind);
-    while (watches_store()) {
+    while (watches(kind)) {
         const auto changes = co_await watch_until_restore(kind);
         log_unreadable(kind, changes.unreadable_);
         // The era may also be learned from another answer while changes are applied.
@@ -331,6 +331,9 @@
     // Instances of older builds state no era: once one is known, they confirm nothing.
     const auto peer_era = platform::read_store_era(answer);
     learn_era(peer_era);
+    // Instances of older builds do not know each kind. Then this one reads it from the store.
+    if (answer.result_int() == unknown_kind_status)
+        kind.watched_until_ = clock_.now() + own_watch_duration;
     if (answer.result_int() == listing_status) {
         const auto listing = platform::decompress_listing(answer.body());
         log_unreadable(kind, listing.unreadable_);
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -21,6 +21,7 @@
     return {.instance_ = settings.instance_,
             .data_centre_ = settings.data_centre_,
             .session_lifetime_ = settings.session_lifetime_,
+            .follows_emptying_ = settings.emptying_delay_.has_value(),
             .shares_by_workspace_ = settings.shares_by_workspace_,
             .learns_capacity_ = settings.learns_capacity_};
 }
@@ -79,6 +80,9 @@
                    [this](const freshness_changed& item) { engine_.set_fresh(item.is_fresh_); },
                    [this](const endpoints_published& item) { engine_.update_endpoints(item.endpoints_); },
                    [this](const roll_outs_published& item) { engine_.update_roll_outs(item.roll_outs_); },
+                   [this](emptied_data_centres_published& item) {
+                       engine_.update_emptied_data_centres(std::move(item.data_centres_));
+                   },
                    [this](instances_published& item) {
                        engine_.update_instances(std::move(item.instances_));
                        engine_.update_relay_peers(std::move(item.relays_));
@@ -165,10 +169,19 @@
                         .all_ = message(forwarding::report_scope::all, work.all_)});
 }
 
+auto decision_worker::publish_endpoint_counts() -> void
+{
+    const auto counts = engine_.endpoint_counts();
+    limited_endpoints_.store(counts.limited_);
+    cold_endpoints_.store(counts.cold_);
+    emptied_data_centres_.store(counts.emptied_data_centres_);
+    running_at_emptied_.store(counts.running_at_emptied_);
+}
+
 auto decision_worker::update_gauge() -> void
 {
     gauge_.publish(engine_.is_ready(), engine_.size());
-    limited_endpoints_.store(engine_.limited_endpoints());
+    publish_endpoint_counts();
     if (engine_.needs_prompt_tick())
         ticker_.hasten(prompt_tick_interval);
 }
--- a/services/front/decision_worker.hpp
+++ b/services/front/decision_worker.hpp
@@ -38,8 +38,14 @@
     /// The number of unfinished requests; any thread.
     auto requests_inside() const -> std::size_t { return gauge_.requests_inside(); }
 
-    /// The number of endpoints that name a limit; any thread.
-    auto limited_endpoints() const -> std::size_t { return limited_endpoints_.load(); }
+    /// The endpoints that take less than usual; any thread.
+    auto endpoint_counts() const -> forwarding::endpoint_counts
+    {
+        return {.limited_ = limited_endpoints_.load(),
+                .cold_ = cold_endpoints_.load(),
+                .emptied_data_centres_ = emptied_data_centres_.load(),
+                .running_at_emptied_ = running_at_emptied_.load()};
+    }
 
 private:
     using engine_type = forwarding::forward_engine<transport::process::system_clock,
@@ -53,6 +59,7 @@
     /// Tells a few other instances what those that have started or missed a datagram do not know.
     auto repeat_news() -> void;
     auto report_work() -> void;
+    auto publish_endpoint_counts() -> void;
     auto update_gauge() -> void;
 
     state::instance_id instance_;
@@ -67,6 +74,9 @@
     transport::ring::bounded_ring<control_event> from_control_;
     transport::worker::worker_gauge gauge_;
     std::atomic<std::size_t> limited_endpoints_{0};
+    std::atomic<std::size_t> cold_endpoints_{0};
+    std::atomic<std::size_t> emptied_data_centres_{0};
+    std::atomic<std::size_t> running_at_emptied_{0};
     state::time_point next_report_{};
     state::time_point next_work_report_{};
     /// Whether the last work report had entries; after that one empty report is sent.
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -15,6 +15,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -72,6 +73,11 @@
     std::vector<state::staged_roll_out> roll_outs_;
 };
 
+/// The data centres whose endpoints are to get nothing.
+struct emptied_data_centres_published {
+    std::set<state::data_centre_id> data_centres_;
+};
+
 /// All instances that the store lists, this one included.
 struct instances_published {
     std::vector<state::instance_id> instances_;
@@ -87,7 +93,7 @@
 
 using control_event =
     std::variant<table_published, freshness_changed, endpoints_published, roll_outs_published,
-                 instances_published, peer_message_received, stop_requested>;
+                 emptied_data_centres_published, instances_published, peer_message_received, stop_requested>;
 
 // Actions that the decision worker requests from the network worker.
 
--- a/services/front/front_settings.cpp
+++ b/services/front/front_settings.cpp
@@ -64,8 +64,8 @@
     settings.configuration_delay_ = delay_or(reader, "configuration_delay_ms", settings.configuration_delay_);
     settings.endpoints_delay_ = delay_or(reader, "endpoints_delay_ms", settings.endpoints_delay_);
     settings.roll_outs_delay_ = delay_or(reader, "roll_outs_delay_ms", settings.roll_outs_delay_);
-    if (reader.has("evacuations_delay_ms"))
-        settings.evacuations_delay_ = delay_or(reader, "evacuations_delay_ms", settings.endpoints_delay_);
+    if (reader.has("emptying_delay_ms"))
+        settings.emptying_delay_ = delay_or(reader, "emptying_delay_ms", settings.endpoints_delay_);
     settings.shares_by_workspace_ = reader.boolean_or("shares_by_workspace", false);
     settings.learns_capacity_ = reader.boolean_or("learns_capacity", false);
     settings.memory_mb_ = static_cast<std::int64_t>(decimal_or(reader, "memory_mb", 0));
--- a/services/front/front_settings.hpp
+++ b/services/front/front_settings.hpp
@@ -39,7 +39,7 @@
     state::duration endpoints_delay_{std::chrono::seconds{2}};
     state::duration roll_outs_delay_{std::chrono::seconds{5}};
     /// The same for operators' orders to empty a data centre; unset if no such orders are given here.
-    std::optional<state::duration> evacuations_delay_;
+    std::optional<state::duration> emptying_delay_;
     /// Whether workspaces share the endpoints fairly while requests wait.
     bool shares_by_workspace_{false};
     /// Whether the load that each endpoint takes well is learned from its answers.
--- a/services/front/main.cpp
+++ b/services/front/main.cpp
@@ -83,7 +83,7 @@
     auto control = front::control_worker{settings};
     auto network = front::network_worker{settings, [&] { return decision.is_ready(); },
                                          [&] { return decision.requests_inside(); },
-                                         [&] { return decision.limited_endpoints(); }, control.gauge()};
+                                         [&] { return decision.endpoint_counts(); }, control.gauge()};
     decision.connect(network.from_decision(), control.from_decision());
     control.connect(decision.from_control(),
                     [&](const state::caller_limits& limits) { network.set_limits(limits); });
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -66,9 +66,10 @@
 
 network_worker::network_worker(const front_settings& settings, std::function<bool()> is_ready,
                                std::function<std::size_t()> decision_requests,
-                               std::function<std::size_t()> limited_endpoints, const store_gauge& store)
+                               std::function<forwarding::endpoint_counts()> endpoint_counts,
+                               const store_gauge& store)
     : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)},
-      limited_endpoints_{std::move(limited_endpoints)}, store_{store},
+      endpoint_counts_{std::move(endpoint_counts)}, store_{store},
       client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_},
       callers_{worker_.context(), caller_server_settings(settings),
                [this](http::exchange& exchange) { return serve_caller(exchange, false); }},
@@ -141,7 +142,7 @@
             load.store_ages_[kind] = clock_.boot_now() - *confirmed_at;
     }
     const auto undecided = load.calls_ - load.decided_calls_;
-    load.limited_endpoints_ = limited_endpoints_();
+    load.endpoints_ = endpoint_counts_();
     load.unknown_calls_ = undecided - std::min(undecided, decision_requests_());
     return load;
 }
@@ -247,6 +248,11 @@
         const auto stream = co_await client_.open(action.address_, platform::probe_request(action.path_),
                                                   timeouts, needs_new_connection);
         named = platform::read_named_endpoint(stream->head());
+        // A health check tells whether the endpoint is cold, and nothing about requests.
+        post_to_decision(forwarding::response_headers{
+            .endpoint_ = named,
+            .notice_ = {.cold_left_ = platform::read_notice(stream->head()).cold_left_},
+            .is_success_ = false});
         stream->cancel();
     } catch (const http::client_error& fault) {
         log_.info("endpoint not identified endpoint=" + action.endpoint_.text() + " reason=\"" +
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -28,7 +28,7 @@
     /// and how many endpoints name a limit; all may be called on any thread.
     network_worker(const front_settings& settings, std::function<bool()> is_ready,
                    std::function<std::size_t()> decision_requests,
-                   std::function<std::size_t()> limited_endpoints, const store_gauge& store);
+                   std::function<forwarding::endpoint_counts()> endpoint_counts, const store_gauge& store);
 
     /// Sets the ring to the decision worker; must be called before start().
     auto connect(transport::ring::bounded_ring<network_event>& decision) -> void { decision_ = &decision; }
@@ -81,7 +81,7 @@
     transport::worker::worker worker_{"network"};
     std::function<bool()> is_ready_;
     std::function<std::size_t()> decision_requests_;
-    std::function<std::size_t()> limited_endpoints_;
+    std::function<forwarding::endpoint_counts()> endpoint_counts_;
     const store_gauge& store_;
     traffic_metrics metrics_;
     transport::http::client client_;
--- a/services/front/object_kind.hpp
+++ b/services/front/object_kind.hpp
@@ -7,10 +7,10 @@
 namespace buckthorndale::services::front {
 
 /// The kinds of objects that an instance follows.
-enum class object_kind : std::uint8_t { configuration, endpoints, roll_outs };
+enum class object_kind : std::uint8_t { configuration, endpoints, roll_outs, emptied_data_centres };
 
-inline constexpr auto object_kinds =
-    std::array{object_kind::configuration, object_kind::endpoints, object_kind::roll_outs};
+inline constexpr auto object_kinds = std::array{object_kind::configuration, object_kind::endpoints,
+                                                object_kind::roll_outs, object_kind::emptied_data_centres};
 
 constexpr auto to_string(object_kind kind) -> std::string_view
 {
@@ -21,6 +21,8 @@
         return "endpoints";
     case object_kind::roll_outs:
         return "roll_outs";
+    case object_kind::emptied_data_centres:
+        return "emptied_data_centres";
     }
     return "unknown";
 }
--- a/services/front/traffic_metrics.cpp
+++ b/services/front/traffic_metrics.cpp
@@ -75,7 +75,10 @@
     text << "buckthorndale_calls{state=\"decided\"} " << load.decided_calls_ << "\n";
     text << "buckthorndale_calls_unknown_to_decisions " << load.unknown_calls_ << "\n";
     text << "buckthorndale_attempts_open " << load.attempts_ << "\n";
-    text << "buckthorndale_limited_endpoints " << load.limited_endpoints_ << "\n";
+    text << "buckthorndale_limited_endpoints " << load.endpoints_.limited_ << "\n";
+    text << "buckthorndale_cold_endpoints " << load.endpoints_.cold_ << "\n";
+    text << "buckthorndale_emptied_data_centres " << load.endpoints_.emptied_data_centres_ << "\n";
+    text << "buckthorndale_requests_at_emptied_data_centres " << load.endpoints_.running_at_emptied_ << "\n";
     write_counts(text, load.callers_);
     for (const auto& [kind, age] : load.store_ages_)
         text << "buckthorndale_store_confirmation_age_seconds{kind=\"" << to_string(kind) << "\"} "
--- a/services/front/traffic_metrics.hpp
+++ b/services/front/traffic_metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_counts.hpp"
 #include "front/store_gauge.hpp"
 #include "state/error.hpp"
 #include "state/units.hpp"
@@ -25,8 +26,8 @@
     /// between the workers means that calls were forgotten.
     std::size_t unknown_calls_{0};
     std::size_t attempts_{0};
-    /// Endpoints that name a limit on requests.
-    std::size_t limited_endpoints_{0};
+    /// The endpoints that take less than usual.
+    coordination::forwarding::endpoint_counts endpoints_;
     transport::http::server_counts callers_;
     /// How long ago the store confirmed each kind of objects that was ever confirmed.
     std::map<object_kind, state::duration> store_ages_;
--- a/tests/world/recording_forward_port.hpp
+++ b/tests/world/recording_forward_port.hpp
@@ -18,6 +18,7 @@
     std::vector<coordination::routing::refusal> refusals_;
     std::vector<forwarding::leaving_endpoint> announced_;
     std::vector<state::endpoint_id> identified_;
+    std::vector<state::endpoint_id> probed_;
 
     auto dispatch(const forwarding::forward_command& command) -> void { commands_.push_back(command); }
 
@@ -51,9 +52,11 @@
         identified_.push_back(endpoint);
     }
 
-    auto probe(const state::endpoint_id& /*endpoint*/, const state::network_address& /*address*/,
+    auto probe(const state::endpoint_id& endpoint, const state::network_address& /*address*/,
                const std::string& /*path*/) -> void
-    {}
+    {
+        probed_.push_back(endpoint);
+    }
 
     auto announce_limits(const forwarding::limit_message& /*message*/) -> void {}
 
