coordination: Learn how fast each endpoint is, and place requests by it

Endpoints of one service were taken for equally fast. Where they are not, the slow ones have queues and long pauses between events while the fast ones idle.

Each instance compares the time between the events of its streams, and the time of its whole answers, with the average of the same route and model. All instances add up these times over the tree that carries the queued work, once a second, so evidence suffices though each sees few answers of an endpoint. What slows all endpoints of a service changes nothing; evidence fades within seconds; differences below a fifth count as none. A slow endpoint gets a smaller share of the affinity keys, and its queue counts for longer.

--- a/libraries/coordination/forwarding/endpoint_counts.hpp
+++ b/libraries/coordination/forwarding/endpoint_counts.hpp
@@ -4,7 +4,7 @@
 
 namespace buckthorndale::coordination::forwarding {
 
-/// How many endpoints take less than usual, and why, for the metrics.
+/// How many endpoints are not like the others, and why, for the metrics.
 struct endpoint_counts {
     /// Endpoints that name a limit.
     std::size_t limited_{0};
@@ -14,6 +14,9 @@
     std::size_t emptied_data_centres_{0};
     /// This instance's requests that still run there.
     std::size_t running_at_emptied_{0};
+    /// Endpoints that take clearly longer than the average one, and less long.
+    std::size_t slow_{0};
+    std::size_t fast_{0};
 };
 
 } // namespace buckthorndale::coordination::forwarding
--- a/libraries/coordination/forwarding/endpoint_pool.cpp
+++ b/libraries/coordination/forwarding/endpoint_pool.cpp
@@ -53,6 +53,14 @@
 /// Time constant with which old samples decay, since the endpoint's queue changes.
 constexpr auto objective_ratio_decay_time = state::duration{std::chrono::seconds{3}};
 
+/// Orders endpoints for an affinity key, lowest first, so that each gets its share of the keys and a change
+/// of one share moves keys from or to that endpoint alone (weighted rendezvous hashing).
+auto affinity_order(std::uint64_t hash, double share) -> double
+{
+    const auto uniform = static_cast<double>(hash >> 11U) * 0x1.0p-53;
+    return share == 1.0 ? uniform : 1.0 - std::pow(1.0 - uniform, 1.0 / share);
+}
+
 } // namespace
 
 auto endpoint_pool::update(const std::vector<state::registered_endpoint>& endpoints) -> void
@@ -122,17 +130,24 @@
     std::erase_if(usable, [this, now](const entry* known) { return next_request_at(*known, now) > now; });
     if (usable.empty())
         return std::nullopt;
-    if (const auto* due = due_for_check(usable, query, now)) {
-        const auto queue = queueing_delay(*due, query);
-        return pool_choice{.endpoint_ = due->endpoint_.id_,
-                           .queue_ = queue,
-                           .expected_ = queue + query.work_ + query.shared_work_};
-    }
+    if (const auto* due = due_for_check(usable, query, now))
+        return make_choice(*due, query, query.shared_work_);
     if (!query.affinity_.empty())
         return choose_by_affinity(usable, query, now);
-    const auto* best = least_loaded(usable, query, now, random);
-    const auto queue = queueing_delay(*best, query);
-    return pool_choice{.endpoint_ = best->endpoint_.id_, .queue_ = queue, .expected_ = queue + query.work_};
+    return make_choice(*least_loaded(usable, query, now, random), query, state::duration::zero());
+}
+
+auto endpoint_pool::make_choice(const entry& known, const pool_query& query,
+                                state::duration cache_miss_time) const -> pool_choice
+{
+    const auto& id = known.endpoint_.id_;
+    const auto pace = paces_.pace(id);
+    const auto at_pace = [pace](state::duration time) {
+        return std::chrono::duration_cast<state::duration>(time * pace);
+    };
+    const auto queue = queueing_delay(known, query);
+    const auto work = query.work_ + cache_miss_time;
+    return {.endpoint_ = id, .queue_ = at_pace(queue), .expected_ = at_pace(queue + work), .work_ = work};
 }
 
 auto endpoint_pool::next_request_at(const entry& known, state::time_point now) const -> state::time_point
@@ -227,7 +242,9 @@
         const auto is_left_out = is_ejected(*known, now);
         const auto is_far = known->endpoint_.data_centre_ != query.data_centre_;
         const auto is_slow = decayed_objective_ratio(*known, now) > bound;
-        const auto load = known->own_in_flight_ + (is_far ? 1 : 0) + (is_slow ? 1 : 0);
+        // An endpoint that takes longer is as loaded with fewer requests.
+        const auto load =
+            (known->own_in_flight_ + (is_far ? 1 : 0) + (is_slow ? 1 : 0) + 1) * paces_.pace(id);
         return std::tuple{was_tried, is_left_out, is_avoided(*known, query, now), load,
                           state::stable_hash(id.text(), random)};
     };
@@ -242,7 +259,7 @@
 
     struct candidate {
         penalties penalties_;
-        std::uint64_t hash_{0};
+        double order_{0};
         const entry* entry_{nullptr};
     };
 
@@ -257,10 +274,10 @@
                             is_avoided(*known, query, now), decayed_objective_ratio(*known, now) > bound,
                             query.stays_in_data_centre_ &&
                                 known->endpoint_.data_centre_ != query.data_centre_},
-             .hash_ = state::stable_hash(id.text(), affinity),
+             .order_ = affinity_order(state::stable_hash(id.text(), affinity), paces_.share(id)),
              .entry_ = known});
     }
-    const auto rank = [](const candidate& item) { return std::pair{item.penalties_, item.hash_}; };
+    const auto rank = [](const candidate& item) { return std::pair{item.penalties_, item.order_}; };
     const auto candidate_count = std::min(ranked.size(), max_affinity_candidates);
     std::ranges::partial_sort(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(candidate_count), {},
                               rank);
@@ -270,17 +287,16 @@
         const auto& ranked_item = ranked[position];
         if (ranked_item.penalties_ != ranked.front().penalties_)
             break;
-        const auto queue = queueing_delay(*ranked_item.entry_, query);
         const auto cache_miss_time = position == 0 ? state::duration::zero() : query.shared_work_;
+        const auto choice = make_choice(*ranked_item.entry_, query, cache_miss_time);
         // Each further position is one more endpoint that processes and caches the same prefix.
         const auto cost_factor = cache_miss_cost_factor * (1 << position) / 2;
-        const auto cost = queue + cache_miss_time * cost_factor;
+        // Beyond what an average endpoint needs for the request alone.
+        const auto cost = choice.expected_ - choice.work_ + cache_miss_time * cost_factor;
         if (cost >= least_cost)
             continue;
         least_cost = cost;
-        best = {.endpoint_ = ranked_item.entry_->endpoint_.id_,
-                .queue_ = queue,
-                .expected_ = queue + query.work_ + cache_miss_time};
+        best = choice;
     }
     return best;
 }
--- a/libraries/coordination/forwarding/endpoint_pool.hpp
+++ b/libraries/coordination/forwarding/endpoint_pool.hpp
@@ -4,6 +4,7 @@
 #include "coordination/forwarding/cold_endpoints.hpp"
 #include "coordination/forwarding/endpoint_identities.hpp"
 #include "coordination/forwarding/endpoint_limits.hpp"
+#include "coordination/forwarding/endpoint_paces.hpp"
 #include "coordination/forwarding/endpoint_pauses.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/leaving_endpoints.hpp"
@@ -48,6 +49,8 @@
     state::duration queue_{0};
     /// The expected time to first byte, including the queueing delay.
     state::duration expected_{0};
+    /// The part of it that an average endpoint would need for the request itself.
+    state::duration work_{0};
 };
 
 /// One router's view of the endpoints: which ones are listed, which are ejected after failures, and how many
@@ -101,6 +104,12 @@
     /// Replaces the work that the other routers have queued at the endpoints.
     auto set_remote_work(const std::vector<endpoint_work>& work) -> void;
 
+    /// How long each endpoint takes in comparison with the others. As long as nothing is recorded there, all
+    /// count alike.
+    auto paces() -> endpoint_paces& { return paces_; }
+
+    auto paces() const -> const endpoint_paces& { return paces_; }
+
     /// Records a time to first byte as a fraction of its latency objective.
     auto record_first_byte(const state::endpoint_id& id, double objective_ratio, state::time_point now)
         -> void;
@@ -257,8 +266,11 @@
     };
 
     static auto decayed_objective_ratio(const entry& known, state::time_point now) -> double;
-    /// The time until the endpoint starts on a new request.
+    /// The time until an average endpoint would start on a new request.
     static auto queueing_delay(const entry& known, const pool_query& query) -> state::duration;
+    /// The choice of an endpoint that has to read the shared prefix for some time, or not.
+    auto make_choice(const entry& known, const pool_query& query, state::duration cache_miss_time) const
+        -> pool_choice;
     /// The endpoint with the least load, for requests without affinity.
     auto least_loaded(const std::vector<const entry*>& usable, const pool_query& query, state::time_point now,
                       std::uint64_t random) const -> const entry*;
@@ -307,6 +319,7 @@
     endpoint_limits limits_;
     brittle_endpoints brittle_;
     cold_endpoints cold_;
+    endpoint_paces paces_;
     std::set<state::data_centre_id> emptied_;
 };
 
--- a/libraries/coordination/forwarding/first_byte_forecast.cpp
+++ b/libraries/coordination/forwarding/first_byte_forecast.cpp
@@ -2,19 +2,12 @@
 
 namespace buckthorndale::coordination::forwarding {
 
-namespace {
-
-/// Averages over about the last twenty answers.
-constexpr auto decay_factor = 0.95;
-
-} // namespace
-
 auto first_byte_forecast::record(const std::string& route, const state::model_name& model,
                                  std::int64_t length, state::duration time) -> void
 {
     auto& known = sums_[{route, model}];
-    known.lengths_ = known.lengths_ * decay_factor + static_cast<double>(length);
-    known.times_us_ = known.times_us_ * decay_factor + static_cast<double>(time.count());
+    known.lengths_ = known.lengths_ * decay_factor_ + static_cast<double>(length);
+    known.times_us_ = known.times_us_ * decay_factor_ + static_cast<double>(time.count());
 }
 
 auto first_byte_forecast::expected(const std::string& route, const state::model_name& model,
--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -74,6 +74,8 @@
         for (const auto& endpoint : endpoints)
             pool_.brittle().record_listed(endpoint, clock_.now(), draw());
         record_cold_endpoints(endpoints);
+        if (settings_.learns_capacity_)
+            pool_.paces().set_endpoints(endpoints);
         roll_outs_.record_fleet_sizes(endpoints);
         has_endpoints_ = true;
     }
@@ -105,10 +107,21 @@
     auto share_work() -> work_report
     {
         const auto now = clock_.now();
-        pool_.set_remote_work(work_.remote_work(now));
+        pool_.set_remote_work(work_.remote(now));
         return work_.report(pool_.own_work(), now);
     }
 
+    /// Applies another router's report of how long endpoints take.
+    auto receive_pace_report(const state::instance_id& from, report_scope scope,
+                             const std::vector<endpoint_pace_sums>& sums) -> void
+    {
+        paces_.hear(from, scope, sums, clock_.now());
+    }
+
+    /// Applies the other routers' reports of how long endpoints take and returns this router's report; to be
+    /// called once a second. Empty unless the settings ask for learned capacities.
+    auto share_paces() -> endpoint_sum_report<endpoint_pace_sums>;
+
     /// Records another router's report of a request that may have crashed an endpoint.
     auto record_remote_crash(const crash_notice& crash) -> void
     {
@@ -150,7 +163,9 @@
         return {.limited_ = pool_.limits().size(),
                 .cold_ = pool_.cold().size(clock_.now()),
                 .emptied_data_centres_ = pool_.emptied().size(),
-                .running_at_emptied_ = pool_.in_flight_at_emptied()};
+                .running_at_emptied_ = pool_.in_flight_at_emptied(),
+                .slow_ = pool_.paces().count_slow(),
+                .fast_ = pool_.paces().count_fast()};
     }
 
     /// Records another router's report of a part that crashes endpoints.
@@ -212,7 +227,8 @@
         bool is_held_{false};
         /// Forecast time that the endpoint needs until the response headers; zero once they have arrived.
         state::duration work_{0};
-        /// Work that was queued at the endpoint ahead of this attempt.
+        /// Time that the attempt is expected to take beyond that, for the work queued ahead of it and for the
+        /// endpoint's pace. Negative at a fast endpoint.
         state::duration queue_{0};
         /// Whether the attempt replaces one that was silent.
         bool is_replacement_{false};
@@ -376,6 +392,9 @@
                                const forward_attempt_result& result) -> void;
     auto record_evidence(const entry& item, const running_attempt& attempt,
                          const forward_attempt_result& result) -> void;
+    /// Records how long an answer of some steps, as the events of a stream, took at its endpoint.
+    auto record_pace(const entry& item, const running_attempt& attempt, state::duration time,
+                     std::int64_t steps) -> void;
     auto record_time(const entry& item, const running_attempt& attempt, roll_out::time_measure measure,
                      state::duration time) -> void;
     /// Retries the request or ends it. `had_run` tells whether it may have run before this attempt.
@@ -416,7 +435,10 @@
     session_pins pins_;
     first_byte_latency first_byte_latency_;
     first_byte_forecast forecast_;
+    /// The average time of an event, or of a whole answer, by route and model.
+    first_byte_forecast step_times_{0.995};
     work_exchange work_;
+    endpoint_sum_exchange<endpoint_pace_sums> paces_;
 
     std::map<state::service_name, admission::latency_window> windows_;
     suspicion::part_suspects part_suspects_;
--- a/libraries/coordination/forwarding/forward_engine_attempts.hpp
+++ b/libraries/coordination/forwarding/forward_engine_attempts.hpp
@@ -45,8 +45,8 @@
                                     .model_ = item.model_,
                                     .started_ = now,
                                     .is_held_ = is_held,
-                                    .work_ = choice.expected_ - choice.queue_,
-                                    .queue_ = choice.queue_};
+                                    .work_ = choice.work_,
+                                    .queue_ = choice.expected_ - choice.work_};
     owners_.emplace(last_attempt_, item.handle_);
     pool_.begin(endpoint, item.attempt_->work_, now);
     item.last_service_ = known->service_;
@@ -156,6 +156,23 @@
     dispatch(*item, *choice, "escalate at confidence " + std::to_string(headers.confidence_.value_or(0)));
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::share_paces() -> endpoint_sum_report<endpoint_pace_sums>
+{
+    if (!settings_.learns_capacity_)
+        return {};
+    const auto now = clock_.now();
+    const auto slow_before = pool_.paces().count_slow();
+    pool_.paces().refresh(paces_.remote(now), now);
+    auto report = paces_.report(pool_.paces().own_sums(), now);
+    if (pool_.paces().count_slow() != slow_before)
+        port_.log(forward_log{.action_ = "endpoint_paces",
+                              .reason_ = std::to_string(pool_.paces().count_slow()) + " slow and " +
+                                         std::to_string(pool_.paces().count_fast()) + " fast endpoints",
+                              .generation_ = table_->generation_});
+    return report;
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::attempt_stalled(const stalled_attempt& stall) -> void
 {
@@ -414,6 +431,23 @@
                     result.stream_time_ / (result.events_ - 1));
     else if (!is_stream && attempt.first_byte_time_)
         record_time(item, attempt, roll_out::time_measure::whole, *attempt.first_byte_time_);
+    if (is_stream && result.events_ >= min_events)
+        record_pace(item, attempt, result.stream_time_, result.events_ - 1);
+    else if (!is_stream && attempt.first_byte_time_)
+        record_pace(item, attempt, *attempt.first_byte_time_, 1);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::record_pace(const entry& item, const running_attempt& attempt,
+                                                      state::duration time, std::int64_t steps) -> void
+{
+    if (!settings_.learns_capacity_)
+        return;
+    const auto& route = item.route_.name_;
+    if (step_times_.has_average(route, attempt.model_))
+        pool_.paces().record(attempt.endpoint_, time,
+                             step_times_.expected(route, attempt.model_, steps, state::duration::zero()));
+    step_times_.record(route, attempt.model_, steps, time);
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
--- a/libraries/protocol/peer/peer_message.cpp
+++ b/libraries/protocol/peer/peer_message.cpp
@@ -143,6 +143,42 @@
     return value;
 }
 
+/// Each endpoint's row holds the time taken and the time expected.
+auto paces_to_json(const std::vector<forwarding::endpoint_pace_sums>& sums) -> Json::Value
+{
+    const auto milliseconds = [](state::duration time) {
+        return Json::Int64{std::chrono::duration_cast<std::chrono::milliseconds>(time).count()};
+    };
+    auto value = Json::Value{Json::objectValue};
+    for (const auto& item : sums) {
+        auto& row = value[item.endpoint_.text()] = Json::Value{Json::arrayValue};
+        row.append(milliseconds(item.taken_));
+        row.append(milliseconds(item.expected_));
+    }
+    return value;
+}
+
+auto read_paces(const Json::Value& value) -> std::vector<forwarding::endpoint_pace_sums>
+{
+    constexpr auto columns = 2U;
+    const auto is_time = [](const Json::Value& item) {
+        return item.isInt64() && item.asInt64() >= 0 && item.asInt64() <= max_work_ms;
+    };
+    auto sums = std::vector<forwarding::endpoint_pace_sums>{};
+    for (const auto& endpoint : value.getMemberNames()) {
+        const auto& row = value[endpoint];
+        if (!row.isArray() || row.size() != columns || !is_time(row[0]) || !is_time(row[1]))
+            throw state::error{state::error_kind::invalid_request,
+                               "The pace of an endpoint is not a pair of durations in the allowed range.",
+                               "Send the time taken and the time expected in integer milliseconds, at most "
+                               "one hour each."};
+        sums.push_back({.endpoint_ = state::endpoint_id{endpoint},
+                        .taken_ = std::chrono::milliseconds{row[0].asInt64()},
+                        .expected_ = std::chrono::milliseconds{row[1].asInt64()}});
+    }
+    return sums;
+}
+
 auto read_work(const Json::Value& value) -> std::vector<forwarding::endpoint_work>
 {
     auto work = std::vector<forwarding::endpoint_work>{};
@@ -322,6 +358,8 @@
     limits_to_json(message.limits_, value);
     if (message.work_)
         value["work_ms"] = work_to_json(*message.work_);
+    if (message.paces_)
+        value["paces_ms"] = paces_to_json(*message.paces_);
     return json::to_text(value);
 }
 
@@ -377,6 +415,10 @@
     const auto& work = reader.raw("work_ms");
     if (work.isObject())
         message.work_ = read_work(work);
+    // Older builds do not report it.
+    const auto& paces = reader.raw("paces_ms");
+    if (paces.isObject())
+        message.paces_ = read_paces(paces);
     return message;
 }
 
--- a/libraries/protocol/peer/peer_message.hpp
+++ b/libraries/protocol/peer/peer_message.hpp
@@ -3,6 +3,7 @@
 #include "coordination/forwarding/cleared_part.hpp"
 #include "coordination/forwarding/crash_notice.hpp"
 #include "coordination/forwarding/endpoint_notice.hpp"
+#include "coordination/forwarding/endpoint_pace_sums.hpp"
 #include "coordination/forwarding/endpoint_work.hpp"
 #include "coordination/forwarding/limit_message.hpp"
 #include "coordination/forwarding/service_roll_outs.hpp"
@@ -39,6 +40,8 @@
     std::vector<coordination::forwarding::leaving_endpoint> leaving_;
     /// The pending work of each endpoint; unset if the message does not report it.
     std::optional<std::vector<coordination::forwarding::endpoint_work>> work_;
+    /// How long endpoints take; unset if the message does not report it.
+    std::optional<std::vector<coordination::forwarding::endpoint_pace_sums>> paces_;
     std::vector<kind_confirmation> confirmations_;
     /// How much endpoints take.
     coordination::forwarding::limit_message limits_;
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -108,6 +108,8 @@
         engine_.receive_limits(message.from_, message.limits_);
     if (message.work_)
         engine_.receive_work_report(message.from_, message.scope_, *message.work_);
+    if (message.paces_)
+        engine_.receive_pace_report(message.from_, message.scope_, *message.paces_);
     if (!message.roll_outs_.ages_.empty())
         engine_.hear(message.from_, message.scope_, message.roll_outs_);
 }
@@ -121,6 +123,7 @@
         next_report_ = now + report_interval;
         report_roll_outs();
         repeat_news();
+        report_paces();
     }
     if (now >= next_work_report_) {
         next_work_report_ = now + work_report_interval;
@@ -169,6 +172,21 @@
                         .all_ = message(forwarding::report_scope::all, work.all_)});
 }
 
+auto decision_worker::report_paces() -> void
+{
+    auto paces = engine_.share_paces();
+    if (paces.all_.empty())
+        return;
+    const auto message = [&](forwarding::report_scope scope,
+                             std::vector<forwarding::endpoint_pace_sums>& items) {
+        return protocol::peer::peer_message{.from_ = instance_, .scope_ = scope, .paces_ = std::move(items)};
+    };
+    port_.post_to_control(
+        report_by_scope{.own_ = message(forwarding::report_scope::own, paces.own_),
+                        .subtree_ = message(forwarding::report_scope::subtree, paces.subtree_),
+                        .all_ = message(forwarding::report_scope::all, paces.all_)});
+}
+
 auto decision_worker::publish_endpoint_counts() -> void
 {
     const auto counts = engine_.endpoint_counts();
@@ -176,6 +194,8 @@
     cold_endpoints_.store(counts.cold_);
     emptied_data_centres_.store(counts.emptied_data_centres_);
     running_at_emptied_.store(counts.running_at_emptied_);
+    slow_endpoints_.store(counts.slow_);
+    fast_endpoints_.store(counts.fast_);
 }
 
 auto decision_worker::update_gauge() -> void
--- a/services/front/decision_worker.hpp
+++ b/services/front/decision_worker.hpp
@@ -38,13 +38,15 @@
     /// The number of unfinished requests; any thread.
     auto requests_inside() const -> std::size_t { return gauge_.requests_inside(); }
 
-    /// The endpoints that take less than usual; any thread.
+    /// The endpoints that are not like the others; any thread.
     auto endpoint_counts() const -> forwarding::endpoint_counts
     {
         return {.limited_ = limited_endpoints_.load(),
                 .cold_ = cold_endpoints_.load(),
                 .emptied_data_centres_ = emptied_data_centres_.load(),
-                .running_at_emptied_ = running_at_emptied_.load()};
+                .running_at_emptied_ = running_at_emptied_.load(),
+                .slow_ = slow_endpoints_.load(),
+                .fast_ = fast_endpoints_.load()};
     }
 
 private:
@@ -59,6 +61,7 @@
     /// Tells a few other instances what those that have started or missed a datagram do not know.
     auto repeat_news() -> void;
     auto report_work() -> void;
+    auto report_paces() -> void;
     auto publish_endpoint_counts() -> void;
     auto update_gauge() -> void;
 
@@ -77,6 +80,8 @@
     std::atomic<std::size_t> cold_endpoints_{0};
     std::atomic<std::size_t> emptied_data_centres_{0};
     std::atomic<std::size_t> running_at_emptied_{0};
+    std::atomic<std::size_t> slow_endpoints_{0};
+    std::atomic<std::size_t> fast_endpoints_{0};
     state::time_point next_report_{};
     state::time_point next_work_report_{};
     /// Whether the last work report had entries; after that one empty report is sent.
--- a/services/front/traffic_metrics.cpp
+++ b/services/front/traffic_metrics.cpp
@@ -79,6 +79,8 @@
     text << "buckthorndale_cold_endpoints " << load.endpoints_.cold_ << "\n";
     text << "buckthorndale_emptied_data_centres " << load.endpoints_.emptied_data_centres_ << "\n";
     text << "buckthorndale_requests_at_emptied_data_centres " << load.endpoints_.running_at_emptied_ << "\n";
+    text << "buckthorndale_slow_endpoints " << load.endpoints_.slow_ << "\n";
+    text << "buckthorndale_fast_endpoints " << load.endpoints_.fast_ << "\n";
     write_counts(text, load.callers_);
     for (const auto& [kind, age] : load.store_ages_)
         text << "buckthorndale_store_confirmation_age_seconds{kind=\"" << to_string(kind) << "\"} "
--- a/services/front/traffic_metrics.hpp
+++ b/services/front/traffic_metrics.hpp
@@ -26,7 +26,7 @@
     /// between the workers means that calls were forgotten.
     std::size_t unknown_calls_{0};
     std::size_t attempts_{0};
-    /// The endpoints that take less than usual.
+    /// The endpoints that are not like the others.
     coordination::forwarding::endpoint_counts endpoints_;
     transport::http::server_counts callers_;
     /// How long ago the store confirmed each kind of objects that was ever confirmed.
--- a/tests/coordination/forwarding.cpp
+++ b/tests/coordination/forwarding.cpp
@@ -285,7 +285,7 @@
     auto of_near = forwarding::work_exchange{};
     of_near.hear(follower, forwarding::report_scope::own, work(100ms), at(1s));
     of_near.hear(far, forwarding::report_scope::subtree, work(20ms), at(1s));
-    BOOST_TEST((of_near.remote_work(at(1s)) == work(120ms)));
+    BOOST_TEST((of_near.remote(at(1s)) == work(120ms)));
     const auto reported = of_near.report(work(3ms), at(1s));
     BOOST_TEST((reported.own_ == work(3ms)));
     BOOST_TEST((reported.subtree_ == work(103ms)));
@@ -295,10 +295,10 @@
     of_follower.report(work(100ms), at(900ms));
     of_follower.hear(near, forwarding::report_scope::all, reported.all_, at(1s));
     // The follower's own work is subtracted from the sum.
-    BOOST_TEST((of_follower.remote_work(at(1s)) == work(23ms)));
+    BOOST_TEST((of_follower.remote(at(1s)) == work(23ms)));
     // Old reports are dropped, since their requests have finished.
-    BOOST_TEST(of_follower.remote_work(at(3s)).empty());
-    BOOST_TEST(of_near.remote_work(at(3s)).empty());
+    BOOST_TEST(of_follower.remote(at(3s)).empty());
+    BOOST_TEST(of_near.remote(at(3s)).empty());
 }
 
 /// The target is 600 endpoints; the size of the report to all routers must not grow with their number.
