coordination: Let waiting requests start in turns by workspace

All waiting requests were sorted at each event by urgency and arrival. A workspace at many times its usual filled the wait of all others, every request waited an eighth of its objective before it was refused, and callers that were refused came back within 0.3 to 0.8 s whatever waited.

admission/waiting_line keeps one ordered line for each service: urgency first, then equal parts of the endpoints' time for each workspace (start-time fair queueing). A request that cannot start before its time in the line is over is refused at once, and refused callers are told to return one after the other at the rate at which requests start. On where shares_by_workspace is set; without it the order and the times to return are as before, from the same line.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordination/admission/latency_window.hpp"
+#include "coordination/admission/waiting_line.hpp"
 #include "coordination/forwarding/endpoint_counts.hpp"
 #include "coordination/forwarding/endpoint_notice.hpp"
 #include "coordination/forwarding/endpoint_pool.hpp"
@@ -299,6 +300,15 @@
     auto enqueue(entry& item) -> void;
     /// Starts queued requests, the most urgent first, as far as the latency windows admit them.
     auto dispatch_queued() -> void;
+    /// Starts or refuses a queued request if its turn has come. Returns whether others of its line may start.
+    auto dispatch_waiting(entry& item) -> bool;
+    auto line_of(const state::service_name& service) -> admission::waiting_line&;
+    /// Takes a request out of its line, if it waits in one.
+    auto leave_line(entry& item) -> void;
+    /// Refuses a request that would still wait when its time in the line is over.
+    auto refuse_if_hopeless(entry& item) -> void;
+    auto refuse_busy(entry& item) -> void;
+    auto erase(entry& item) -> void;
     auto sweep_waiting(state::time_point now) -> void;
     /// When a queued request is refused.
     static auto last_wait(const entry& item) -> state::time_point;
@@ -415,6 +425,8 @@
     /// have got what they take.
     auto pause_left(const entry& item) -> state::duration;
     /// When a refused caller should come back: when some instance may send the request to an endpoint.
+    /// When the caller of a request that waits, and is turned away, should return.
+    auto return_to_line(const entry& item) -> state::duration;
     auto return_delay(const entry& item) -> state::duration;
     /// Records that the request lacks a permit at all endpoints that name a limit.
     auto record_unmet(const entry& item) -> void;
@@ -440,6 +452,8 @@
     work_exchange work_;
     endpoint_sum_exchange<endpoint_pace_sums> paces_;
 
+    /// The requests that wait, by service.
+    std::map<state::service_name, admission::waiting_line> lines_;
     std::map<state::service_name, admission::latency_window> windows_;
     suspicion::part_suspects part_suspects_;
     suspicion::part_suspects content_suspects_{suspicion::content_evidence_limits};
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -38,6 +38,8 @@
     }
     enqueue(entries_.at(handle));
     dispatch_queued();
+    if (const auto found = entries_.find(handle); found != entries_.end())
+        refuse_if_hopeless(found->second);
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -161,40 +163,93 @@
             .shared_work_ = forecast(shared_prompt_length(request))};
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::line_of(const state::service_name& service)
+    -> admission::waiting_line&
+{
+    const auto order = settings_.shares_by_workspace_ ? admission::line_order::by_workspace
+                                                      : admission::line_order::by_arrival;
+    return lines_.try_emplace(service, order).first->second;
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::enqueue(entry& item) -> void
 {
-    item.waits_for_ = pick_service(item);
+    const auto service = pick_service(item);
+    item.waits_for_ = service;
+    const auto length = prompt_length(item.request_);
+    line_of(service).push({.handle_ = item.handle_,
+                           .workspace_ = item.workspace_,
+                           .priority_ = item.priority_,
+                           .work_ = forecast_.expected(item.route_.name_, item.model_, length,
+                                                       default_token_time(item.route_, item.model_))});
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::leave_line(entry& item) -> void
+{
+    if (item.waits_for_)
+        line_of(*item.waits_for_).remove(item.handle_);
+    item.waits_for_.reset();
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::dispatch_queued() -> void
 {
-    auto waiting = std::vector<entry*>{};
-    for (auto& [handle, item] : entries_) {
-        if (item.waits_for_)
-            waiting.push_back(&item);
+    for (auto& [service, line] : lines_) {
+        auto handle = line.first();
+        while (handle) {
+            // The request may leave the line now.
+            const auto next = line.after(*handle);
+            if (!dispatch_waiting(entries_.at(*handle)))
+                break;
+            handle = next;
+        }
     }
-    const auto order = [](const entry* item) { return std::tuple{item->priority_, item->arrived_}; };
-    std::ranges::sort(waiting, {}, order);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::dispatch_waiting(entry& item) -> bool
+{
     const auto now = clock_.now();
-    for (auto* item : waiting) {
-        const auto service = *item->waits_for_;
-        const auto pause = pause_left(*item);
-        if (pause > state::duration::zero()) {
-            record_unmet(*item);
-            // Waiting is pointless if the pause outlasts the request's time in the queue.
-            if (now + pause > last_wait(*item))
-                refuse(*item, state::error_kind::no_capacity,
-                       "The endpoints of the service take no more requests for now.");
-            continue;
-        }
-        if (settings_.uses_latency_window_ &&
-            !windows_[service].admits(pool_.in_flight(service), item->priority_))
-            continue;
-        item->waits_for_.reset();
-        start(*item, service, "first");
+    const auto service = *item.waits_for_;
+    const auto pause = pause_left(item);
+    if (pause > state::duration::zero()) {
+        record_unmet(item);
+        // Waiting is pointless if the pause outlasts the request's time in the queue.
+        if (now + pause > last_wait(item))
+            refuse(item, state::error_kind::no_capacity,
+                   "The endpoints of the service take no more requests for now.");
+        return true;
     }
+    // Those behind are as urgent or less, so the window does not admit them either.
+    if (settings_.uses_latency_window_ && !windows_[service].admits(pool_.in_flight(service), item.priority_))
+        return false;
+    line_of(service).take(item.handle_, now);
+    item.waits_for_.reset();
+    start(item, service, "first");
+    return true;
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::refuse_if_hopeless(entry& item) -> void
+{
+    if (!settings_.shares_by_workspace_ || !item.waits_for_)
+        return;
+    const auto now = clock_.now();
+    const auto wait = line_of(*item.waits_for_).expected_wait(item.handle_, now);
+    if (wait && now + *wait > last_wait(item))
+        refuse_busy(item);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::refuse_busy(entry& item) -> void
+{
+    const auto service = *item.waits_for_;
+    refuse(item, state::error_kind::no_capacity,
+           "The endpoints are busy; send the request again later: window " +
+               std::to_string(static_cast<int>(windows_[service].size())) + ", in flight " +
+               std::to_string(pool_.in_flight(service)) + ".");
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -255,9 +310,9 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::return_delay(const entry& item) -> state::duration
 {
-    if (pause_left(item) <= state::duration::zero())
-        return retry_after();
     const auto now = clock_.now();
+    if (pause_left(item) <= state::duration::zero())
+        return settings_.shares_by_workspace_ && item.waits_for_ ? return_to_line(item) : retry_after();
     auto earliest = std::optional<state::time_point>{};
     for (const auto& target : item.route_.targets_) {
         const auto time = pool_.next_turn_at(query_for(item, target.service_, item.model_), now);
@@ -267,6 +322,22 @@
     return earliest.value_or(now) - now + retry_after();
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::return_to_line(const entry& item) -> state::duration
+{
+    // Callers heed a time to return up to a third of the time that they have left.
+    constexpr auto max_part = 3;
+    const auto now = clock_.now();
+    const auto max_delay = (item.deadline_ - now) / max_part;
+    const auto delay = line_of(*item.waits_for_).reserve_return(max_delay, now);
+    if (delay <= state::duration::zero())
+        return retry_after();
+    // Those for whom there is no place left come back spread over the second half of the time.
+    return delay < max_delay
+               ? delay
+               : max_delay / 2 + std::chrono::duration_cast<state::duration>(max_delay / 2 * draw());
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::record_unmet(const entry& item) -> void
 {
@@ -297,7 +368,7 @@
     log(item, "finish", "answered");
     pin_session(item);
     port_.finish(item.handle_, attempt);
-    entries_.erase(item.handle_);
+    erase(item);
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -310,6 +381,13 @@
     port_.refuse(
         item.handle_,
         routing::refusal{.kind_ = kind, .run_ = run, .retry_after_ = return_delay(item), .detail_ = detail});
+    erase(item);
+}
+
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::erase(entry& item) -> void
+{
+    leave_line(item);
     entries_.erase(item.handle_);
 }
 
@@ -324,7 +402,7 @@
     pin_session(item);
     if (item.attempt_)
         abandon_attempt(item);
-    entries_.erase(found);
+    erase(found->second);
     dispatch_queued();
 }
 
@@ -389,11 +467,10 @@
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::needs_prompt_tick() const -> bool
 {
-    const auto is_waiting = [](const auto& known) {
-        return known.second.waits_for_.has_value() || known.second.awaits_resumption_;
-    };
+    const auto has_waiting = [](const auto& item) { return !item.second.is_empty(); };
+    const auto awaits_resumption = [](const auto& known) { return known.second.awaits_resumption_; };
     return !suspected_failures_.empty() || pool_.has_lost_endpoints() || pool_.has_stated_limits() ||
-           std::ranges::any_of(entries_, is_waiting);
+           std::ranges::any_of(lines_, has_waiting) || std::ranges::any_of(entries_, awaits_resumption);
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
@@ -420,14 +497,8 @@
         if (item.waits_for_ && now > last_wait(item))
             overdue.push_back(handle);
     }
-    for (const auto handle : overdue) {
-        auto& item = entries_.at(handle);
-        const auto& service = *item.waits_for_;
-        refuse(item, state::error_kind::no_capacity,
-               "The endpoints are busy; send the request again later: window " +
-                   std::to_string(static_cast<int>(windows_[service].size())) + ", in flight " +
-                   std::to_string(pool_.in_flight(service)) + ".");
-    }
+    for (const auto handle : overdue)
+        refuse_busy(entries_.at(handle));
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -136,6 +136,45 @@
     BOOST_TEST(endpoint.registered_at_ == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(reads_what_cold_endpoints_bear)
+{
+    auto object = value(configuration_text);
+    auto& service = object["spec"]["services"][0];
+    BOOST_TEST(platform::read_routing_table(object).cold_starts_.empty());
+    service["coldStartS"] = 3.0;
+    service["coldPerS"] = 6.1;
+    const auto table = platform::read_routing_table(object);
+    BOOST_REQUIRE(table.cold_starts_.contains(state::service_name{"x"}));
+    BOOST_TEST(
+        (table.cold_starts_.at(state::service_name{"x"}) == state::cold_start{.time_ = 3s, .rate_ = 6.1}));
+    // Services that know no cold time, and values that make no sense, bind nothing and spoil nothing.
+    for (const auto& rate : {Json::Value{0.0}, Json::Value{-1}, Json::Value{"many"}, Json::Value{}}) {
+        service["coldPerS"] = rate;
+        BOOST_TEST(platform::read_routing_table(object).cold_starts_.empty());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(reads_how_long_an_endpoint_stays_cold)
+{
+    auto object = value(endpoint_text);
+    BOOST_TEST(!platform::read_endpoint(object).cold_left_.has_value());
+    object["spec"]["coldLeftMs"] = 1800;
+    BOOST_TEST((platform::read_endpoint(object).cold_left_ == 1800ms));
+    BOOST_TEST(platform::read_endpoint(object).entry_revision_ == 9U);
+    object["spec"]["coldLeftMs"] = -5;
+    BOOST_TEST((platform::read_endpoint(object).cold_left_ == 0ms));
+    object["spec"]["coldLeftMs"] = "soon";
+    BOOST_TEST(!platform::read_endpoint(object).cold_left_.has_value());
+
+    auto head = http::response::header_type{};
+    head.set("X-Cold-Ms", "1250.5");
+    BOOST_TEST((platform::read_notice(head).cold_left_ == 1250500us));
+    for (const auto* const text : {"", "soon", "-1", "nan", "99999999999"}) {
+        head.set("X-Cold-Ms", text);
+        BOOST_TEST(!platform::read_notice(head).cold_left_.has_value());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reads_a_roll_out_and_ignores_the_status_of_an_earlier_one)
 {
     auto object = value(roll_out_text);
--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -118,6 +118,26 @@
     BOOST_TEST(received.roll_outs_.ages_.front().era_.value() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(paces_survive_a_round_trip_and_older_builds_send_none)
+{
+    auto message = sample_message();
+    BOOST_TEST(!peer_message_from_text(to_text(message)).paces_.has_value());
+    message.paces_ = {{.endpoint_ = state::endpoint_id{"e1"},
+                       .taken_ = std::chrono::milliseconds{700},
+                       .expected_ = std::chrono::milliseconds{500}}};
+    BOOST_TEST((peer_message_from_text(to_text(message)).paces_ == message.paces_));
+}
+
+BOOST_AUTO_TEST_CASE(paces_that_are_no_times_are_refused)
+{
+    for (const auto* const row : {"[1]", "[1, 2, 3]", "[-1, 2]", "[1, \"x\"]", "[1, 99999999999]", "7"}) {
+        const auto text =
+            std::string{R"({ "from": "front-1", "life": "1", "scope": 0, "paces_ms": { "e1": )"} + row +
+            "} }";
+        BOOST_CHECK_THROW(peer_message_from_text(text), state::error);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(absent_work_differs_from_empty_work)
 {
     auto message = sample_message();
