--- a/libraries/coordination/admission/waiting_line.hpp
+++ b/libraries/coordination/admission/waiting_line.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "coordination/admission/line_order.hpp"
+#include "coordination/admission/waiting_request.hpp"
 #include "state/identifiers.hpp"
 #include "state/units.hpp"
 
@@ -12,19 +14,6 @@
 
 namespace buckthorndale::coordination::admission {
 
-/// A request that waits for its service, as a line sees it.
-struct waiting_request {
-    state::request_handle handle_;
-    state::workspace_id workspace_;
-    /// 0 is the most urgent.
-    std::int32_t priority_{0};
-    /// The time that the request is expected to take at an endpoint.
-    state::duration work_{0};
-};
-
-/// Whether workspaces share what a line lets through.
-enum class line_order : std::uint8_t { by_arrival, by_workspace };
-
 /// The requests that wait for a service, in the order in which they start: the more urgent ones first and,
 /// among equally urgent ones, by arrival or so that each workspace gets an equal part of the endpoints' time
 /// (start-time fair queueing: Goyal, Vin and Cheng, SIGCOMM 1996). A part that one workspace leaves unused is
--- a/libraries/coordination/forwarding/endpoint_sum_exchange.hpp
+++ b/libraries/coordination/forwarding/endpoint_sum_exchange.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "coordination/forwarding/endpoint_sum.hpp"
+#include "coordination/forwarding/endpoint_sum_report.hpp"
 #include "coordination/forwarding/report_scope.hpp"
 #include "state/identifiers.hpp"
 #include "state/units.hpp"
 
 #include <algorithm>
-#include <concepts>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -13,36 +14,6 @@
 
 namespace buckthorndale::coordination::forwarding {
 
-/// A quantity of one endpoint that routers add up.
-template <typename Type>
-concept endpoint_sum = requires(Type& sum, const Type& other) {
-    {
-        sum.endpoint_
-    } -> std::convertible_to<state::endpoint_id>;
-    sum.add(other);
-    sum.subtract(other);
-    {
-        other.is_empty()
-    } -> std::same_as<bool>;
-    {
-        other.weight()
-    } -> std::same_as<double>;
-    {
-        Type::max_report_age
-    } -> std::convertible_to<state::duration>;
-    {
-        Type::max_reported_endpoints
-    } -> std::convertible_to<std::size_t>;
-};
-
-/// What a router reports of each endpoint, in each scope.
-template <endpoint_sum Sum>
-struct endpoint_sum_report {
-    std::vector<Sum> own_;
-    std::vector<Sum> subtree_;
-    std::vector<Sum> all_;
-};
-
 /// Adds up what the routers know of each endpoint. Reports take the same path as those of roll-outs: from
 /// followers to a watcher, between watchers, and back to the followers as sums. A report replaces the
 /// sender's previous one, so a late or doubled one does no harm.
--- a/services/front/front_settings.cpp
+++ b/services/front/front_settings.cpp
@@ -68,7 +68,6 @@
         settings.emptying_delay_ = delay_or(reader, "emptying_delay_ms", settings.endpoints_delay_);
     settings.shares_by_workspace_ = reader.boolean_or("shares_by_workspace", false);
     settings.learns_capacity_ = reader.boolean_or("learns_capacity", false);
-    settings.memory_mb_ = static_cast<std::int64_t>(decimal_or(reader, "memory_mb", 0));
     if (reader.has("log"))
         settings.log_ = protocol::settings::read_log_settings(reader.child("log"));
     reader.finish();
--- a/services/front/front_settings.hpp
+++ b/services/front/front_settings.hpp
@@ -44,8 +44,6 @@
     bool shares_by_workspace_{false};
     /// Whether the load that each endpoint takes well is learned from its answers.
     bool learns_capacity_{false};
-    /// The memory that the process may use, in MB; 0 if it is not limited.
-    std::int64_t memory_mb_{0};
     protocol::settings::log_settings log_;
 };
 
--- a/tests/processes/front_soak.sh
+++ b/tests/processes/front_soak.sh
@@ -70,17 +70,39 @@
     esac
 }
 
+# Empties data centres and gives them back, and lets endpoints turn cold. Draws from numbers of its own, so that
+# the other faults of a seed stay as they were.
+give_orders() {
+    RANDOM=$((seed + 7919))
+    while [ $SECONDS -lt $end_second ]; do
+        local data_centre="$([ $((RANDOM % 2)) = 0 ] && echo north-1 || echo south-1)"
+        case $((RANDOM % 3)) in
+            0) order -X POST -d "{ \"metadata\": { \"name\": \"$data_centre\" }, \"spec\": {} }" "" ;;
+            1) order -X DELETE "/$data_centre" ;;
+            2) stand_in "/entry?endpoint=desk-$((RANDOM % 2 + 1))&cold_ms=$((RANDOM % 2000 + 500))" ;;
+        esac >/dev/null
+        sleep "0.$((RANDOM % 6 + 3))"
+    done
+}
+order() { curl -s "${@:1:$#-1}" "http://127.0.0.1:$(port 0)/objects/evacuations${*: -1}"; }
+for endpoint in engine-3 desk-2; do stand_in "/entry?endpoint=$endpoint&data_centre=south-1" >/dev/null; done
+# Configurations from the second one on state what cold endpoints bear.
+jq '.spec.services = [ { "name": "desk", "healthPath": "/health", "coldStartS": 2, "coldPerS": 4 } ]' \
+    "$folder/configuration.json" >"$folder/cold.json" && mv "$folder/cold.json" "$folder/configuration.json"
+
 generation=1
 callers=()
 for caller in 1 2 3 4; do
     run_caller "$caller" &
     callers+=("$!")
 done
+give_orders &
+orders=$!
 while [ $SECONDS -lt $end_second ]; do
     inject_fault
     sleep "0.$((RANDOM % 5 + 1))"
 done
-wait "${callers[@]}"
+wait "${callers[@]}" "$orders"
 
 # Checks the guarantees against what callers and endpoints recorded.
 stand_in /record >"$folder/record"
@@ -106,6 +128,7 @@
 # Once all faults are removed, all instances serve again.
 for endpoint in engine-1 engine-2 engine-3 desk-1 desk-2; do stand_in "/fault?endpoint=$endpoint&kind=none" >/dev/null; done
 stand_in '/store?down=0' >/dev/null
+for data_centre in north-1 south-1; do order -X DELETE "/$data_centre" >/dev/null; done
 for route in store engine-1 engine-2 engine-3 desk-1; do break_route "$route" none; done
 for i in 1 2 3; do wait_for 10 "front-$i is ready after the soak" front_is_ready "$i"; done
 serves() { [ "$(status_of ask "$1" "after-$RANDOM$RANDOM" /lookup/tag)" = 200 ]; }
