coordination: Judge a wait by lines that have been busy for a while

The rate of starts shows how many requests came, not how many there is room for, until some have waited. At low load a moment's crowd would have been refused at once though room appears within its time. Found on reading the diff; the test nobody_is_turned_away_for_the_low_load_before fails without the check.

--- a/libraries/coordination/admission/waiting_line.cpp
+++ b/libraries/coordination/admission/waiting_line.cpp
@@ -14,6 +14,8 @@
 constexpr auto counted_time = state::duration{std::chrono::seconds{1}};
 /// With fewer starts the rate says nothing.
 constexpr auto min_starts = 3.0;
+/// A line that was empty this long ago tells nothing about the room that appears.
+constexpr auto min_busy_time = state::duration{std::chrono::milliseconds{300}};
 /// Requests without a forecast still take a part of the endpoints' time.
 constexpr auto min_work = state::duration{std::chrono::milliseconds{1}};
 
@@ -30,8 +32,10 @@
     return count_ * std::exp(-seconds{now - counted_at_} / seconds{counted_time});
 }
 
-auto waiting_line::push(const waiting_request& request) -> void
+auto waiting_line::push(const waiting_request& request, state::time_point now) -> void
 {
+    if (is_empty())
+        busy_since_ = now;
     auto place =
         position{.priority_ = request.priority_, .number_ = ++last_number_, .handle_ = request.handle_};
     auto& known = lanes_[{request.priority_, request.workspace_}];
@@ -108,7 +112,7 @@
 {
     const auto found = positions_.find(handle);
     const auto rate = starts_per_second(now);
-    if (found == positions_.end() || rate <= 0)
+    if (found == positions_.end() || rate <= 0 || now - busy_since_ < min_busy_time)
         return std::nullopt;
     const auto& place = found->second.position_;
     auto ahead = std::size_t{0};
--- a/libraries/coordination/admission/waiting_line.hpp
+++ b/libraries/coordination/admission/waiting_line.hpp
@@ -25,7 +25,7 @@
 public:
     explicit waiting_line(line_order order) : order_{order} {}
 
-    auto push(const waiting_request& request) -> void;
+    auto push(const waiting_request& request, state::time_point now) -> void;
 
     /// Removes a request that does not wait any more without having started.
     auto remove(state::request_handle handle) -> void;
@@ -46,7 +46,8 @@
     auto is_empty() const -> bool { return positions_.empty(); }
 
     /// How long a request that waits is expected to go on waiting, by the rate at which requests started
-    /// lately; nothing while that is unknown.
+    /// lately; nothing until requests have waited for a while, since before that it shows how many came, not
+    /// how many there is room for.
     auto expected_wait(state::request_handle handle, state::time_point now) const
         -> std::optional<state::duration>;
 
@@ -105,6 +106,8 @@
     /// The virtual time of each urgency: where the last request that started began.
     std::map<std::int32_t, double> virtual_times_;
     recent_count starts_;
+    /// Since when some request has waited at any time.
+    state::time_point busy_since_{};
     /// When the next caller may return.
     state::time_point next_return_{};
 };
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -182,7 +182,8 @@
                            .workspace_ = item.workspace_,
                            .priority_ = item.priority_,
                            .work_ = forecast_.expected(item.route_.name_, item.model_, length,
-                                                       default_token_time(item.route_, item.model_))});
+                                                       default_token_time(item.route_, item.model_))},
+                          clock_.now());
 }
 
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
--- a/tests/coordination/waiting_line.cpp
+++ b/tests/coordination/waiting_line.cpp
@@ -76,7 +76,7 @@
     auto arrive(const std::string& workspace, state::time_point deadline) -> void
     {
         const auto handle = ++last_handle_;
-        line_.push(request(handle, workspace));
+        line_.push(request(handle, workspace), time_.now());
         workspaces_[handle] = workspace;
         const auto wait = line_.expected_wait(state::request_handle{handle}, time_.now());
         if (wait && *wait > max_wait_)
@@ -152,10 +152,10 @@
 BOOST_AUTO_TEST_CASE(the_more_urgent_start_first_and_equals_by_arrival)
 {
     auto line = admission::waiting_line{line_order::by_arrival};
-    line.push(request(1, "a", 2));
-    line.push(request(2, "a", 0));
-    line.push(request(3, "b", 2));
-    line.push(request(4, "a", 0));
+    line.push(request(1, "a", 2), start);
+    line.push(request(2, "a", 0), start);
+    line.push(request(3, "b", 2), start);
+    line.push(request(4, "a", 0), start);
     BOOST_TEST(take_all(line) == (std::vector<std::uint64_t>{2, 4, 1, 3}), boost::test_tools::per_element());
 }
 
@@ -163,9 +163,9 @@
 {
     auto line = admission::waiting_line{line_order::by_workspace};
     for (auto handle = std::uint64_t{1}; handle <= 4; ++handle)
-        line.push(request(handle, "a"));
-    line.push(request(5, "b", 1, 20ms));
-    line.push(request(6, "b", 1, 20ms));
+        line.push(request(handle, "a"), start);
+    line.push(request(5, "b", 1, 20ms), start);
+    line.push(request(6, "b", 1, 20ms), start);
     BOOST_TEST(take_all(line) == (std::vector<std::uint64_t>{1, 5, 2, 3, 6, 4}),
                boost::test_tools::per_element());
 }
@@ -175,11 +175,11 @@
 {
     auto line = admission::waiting_line{line_order::by_workspace};
     for (auto handle = std::uint64_t{1}; handle <= 10; ++handle)
-        line.push(request(handle, "a"));
+        line.push(request(handle, "a"), start);
     for (auto handle = std::uint64_t{1}; handle <= 5; ++handle)
         line.take(state::request_handle{handle}, start);
     for (auto handle = std::uint64_t{11}; handle <= 14; ++handle)
-        line.push(request(handle, "b"));
+        line.push(request(handle, "b"), start);
     const auto taken = take_all(line);
     BOOST_TEST(taken.size() == 9U);
     BOOST_TEST(std::count_if(taken.begin(), taken.begin() + 4, [](auto handle) { return handle > 10; }) <= 3);
@@ -188,8 +188,8 @@
 BOOST_AUTO_TEST_CASE(requests_that_leave_are_forgotten)
 {
     auto line = admission::waiting_line{line_order::by_workspace};
-    line.push(request(1, "a"));
-    line.push(request(2, "b"));
+    line.push(request(1, "a"), start);
+    line.push(request(2, "b"), start);
     BOOST_TEST((line.after(state::request_handle{1}) == state::request_handle{2}));
     line.remove(state::request_handle{1});
     line.remove(state::request_handle{1});
@@ -231,22 +231,35 @@
 BOOST_AUTO_TEST_CASE(a_request_that_would_wait_too_long_is_known_at_once)
 {
     auto line = admission::waiting_line{line_order::by_workspace};
-    line.push(request(1, "a"));
+    line.push(request(1, "a"), start - 1s);
     BOOST_TEST(!line.expected_wait(state::request_handle{1}, start).has_value());
     for (auto handle = std::uint64_t{2}; handle <= 41; ++handle) {
-        line.push(request(handle, "a"));
+        line.push(request(handle, "a"), start);
         line.take(state::request_handle{handle}, start);
     }
     for (auto handle = std::uint64_t{42}; handle <= 81; ++handle)
-        line.push(request(handle, "a"));
+        line.push(request(handle, "a"), start);
     BOOST_TEST((line.expected_wait(state::request_handle{81}, start) > 800ms));
     // A workspace with a single request does not wait behind all of another one's.
-    line.push(request(82, "b"));
+    line.push(request(82, "b"), start);
     BOOST_TEST((line.expected_wait(state::request_handle{82}, start) < 100ms));
     BOOST_TEST((line.reserve_return(5s, start) > 800ms));
     BOOST_TEST((line.reserve_return(100ms, start) == 100ms));
 }
 
+/// Load pattern: a moment's crowd at low load. How many requests came before tells nothing about the room.
+BOOST_AUTO_TEST_CASE(nobody_is_turned_away_for_the_low_load_before)
+{
+    auto line = admission::waiting_line{line_order::by_workspace};
+    for (auto handle = std::uint64_t{1}; handle <= 10; ++handle) {
+        line.push(request(handle, "a"), start);
+        line.take(state::request_handle{handle}, start);
+    }
+    line.push(request(11, "a"), start + 100ms);
+    BOOST_TEST(!line.expected_wait(state::request_handle{11}, start + 100ms).has_value());
+    BOOST_TEST(line.expected_wait(state::request_handle{11}, start + 500ms).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
