--- a/tests/coordination/placement_runs.cpp
+++ b/tests/coordination/placement_runs.cpp
@@ -248,7 +248,7 @@
 
 auto run_plan(placement_plan plan, const std::string& name) -> placement_result
 {
-    const auto result = placement_run{plan}.run();
+    auto result = placement_run{plan}.run();
     BOOST_TEST_MESSAGE(name << ": requests " << result.requests_ << ", late " << result.late_part()
                             << ", after a while " << result.last_late_part() << ", cache misses "
                             << result.cache_misses_);
--- a/tests/coordination/waiting_line.cpp
+++ b/tests/coordination/waiting_line.cpp
@@ -79,10 +79,10 @@
         line_.push(request(handle, workspace), time_.now());
         workspaces_[handle] = workspace;
         const auto wait = line_.expected_wait(state::request_handle{handle}, time_.now());
-        if (wait && *wait > max_wait_)
+        if (wait && *wait > max_wait)
             refuse(handle, deadline);
         else
-            time_.after(max_wait_, [this, handle, deadline] {
+            time_.after(max_wait, [this, handle, deadline] {
                 if (line_.contains(state::request_handle{handle}))
                     refuse(handle, deadline);
             });
@@ -118,7 +118,7 @@
         });
     }
 
-    static constexpr state::duration max_wait_{250ms};
+    static constexpr state::duration max_wait{250ms};
     world::scheduler time_;
     coordination::time::seeded_random random_{3};
     waiting_line line_;
