transport: Reject statuses that end no request

What callers saw: an endpoint in trouble answered with the status 000, and the caller got "HTTP/1.1 000" with the endpoint's fields and body as its answer; the same with 001, 099, 101, 600 and 999. After an interim response, such as 100, the caller got that and nothing after it. An instance that read such an answer from the store took its body for the store's contents and did not read the configuration again for as long as the test waited.

Cause: the parser takes any three digits for a status, and nothing after it looked at their range. Codes below 300 count as a success at the store's client, and each one but 2xx as the endpoint's own failure, which is passed on.

The client now passes over interim responses (RFC 9110, section 15.2), up to 16 of them within the time for the headers, and takes every other status outside 200 to 599 for a malformed answer. All answers are read there: of endpoints, other instances, agents, the rating service and the store. What may be repeated goes to another endpoint, and the rest ends with 502.

--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -33,6 +33,24 @@
     return {client_fault::closed, code.message()};
 }
 
+/// Whether the status announces a later response to the same request. 101 would change the protocol, which
+/// no request here asks for.
+auto is_interim(unsigned status) -> bool
+{
+    constexpr auto first_interim = 100U;
+    constexpr auto switching_protocols = 101U;
+    constexpr auto first_final = 200U;
+    return status >= first_interim && status < first_final && status != switching_protocols;
+}
+
+/// Whether the status ends a request (RFC 9110, section 15).
+auto is_final(unsigned status) -> bool
+{
+    constexpr auto first_final = 200U;
+    constexpr auto end_of_statuses = 600U;
+    return status >= first_final && status < end_of_statuses;
+}
+
 /// Enables TCP keepalive, so that the system breaks a connection whose peer acknowledges nothing for this
 /// long, give or take a second.
 auto enable_keepalive_probes(asio::ip::tcp::socket& socket, state::duration max_unacknowledged) -> void
@@ -74,10 +92,14 @@
 
 response_stream::response_stream(client& owner, state::network_address peer,
                                  std::unique_ptr<beast::tcp_stream> connection)
-    : owner_{&owner}, peer_{std::move(peer)}, connection_{std::move(connection)},
-      parser_{std::make_unique<parser>()}
+    : owner_{&owner}, peer_{std::move(peer)}, connection_{std::move(connection)}, parser_{make_parser()}
+{}
+
+auto response_stream::make_parser() -> std::unique_ptr<parser>
 {
-    parser_->body_limit(boost::none);
+    auto made = std::make_unique<parser>();
+    made->body_limit(boost::none);
+    return made;
 }
 
 auto response_stream::header(std::string_view name) const -> std::string
@@ -88,9 +110,24 @@
 }
 
 auto response_stream::read_header(state::duration timeout) -> awaitable<void>
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    co_await read_one_header(deadline);
+    for (auto count = 0; is_interim(status()); ++count) {
+        if (count == max_interim_responses)
+            throw client_error{client_fault::malformed, "no final response follows the interim ones"};
+        parser_ = make_parser();
+        co_await read_one_header(deadline);
+    }
+    if (!is_final(status()))
+        throw client_error{client_fault::malformed,
+                           "the status " + std::to_string(status()) + " is no final response's"};
+}
+
+auto response_stream::read_one_header(std::chrono::steady_clock::time_point deadline) -> awaitable<void>
 {
     auto fault = boost::system::error_code{};
-    connection_->expires_after(timeout);
+    connection_->expires_at(deadline);
     co_await beast::http::async_read_header(*connection_, buffer_, *parser_,
                                             asio::redirect_error(use_awaitable, fault));
     if (fault)
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -61,7 +62,8 @@
     /// The status line and all response headers.
     auto head() const -> const parser::value_type::header_type& { return parser_->get().base(); }
 
-    /// Waits for the response headers. Throws client_error.
+    /// Waits for the headers of the final response. Throws client_error, also for a status that no response
+    /// has.
     auto read_header(state::duration timeout) -> awaitable<void>;
 
     /// Reads the next chunk of the body; empty at its end. Throws client_error.
@@ -80,6 +82,12 @@
     friend class client;
 
     static constexpr std::size_t max_buffered_bytes{131'072};
+    /// Interim responses that may precede the final one.
+    static constexpr int max_interim_responses{16};
+
+    static auto make_parser() -> std::unique_ptr<parser>;
+    /// Reads the headers of one response, which may be interim.
+    auto read_one_header(std::chrono::steady_clock::time_point deadline) -> awaitable<void>;
 
     client* owner_;
     state::network_address peer_;
--- /dev/null
+++ b/tests/processes/broken_answers_of_the_store.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# The platform's store is in trouble and sends answers that are none: with a status that ends no request, a broken
+# head, or a head that is cut. Instances take nothing from them, and callers are served all the while.
+source "$(dirname "$0")/system.bash" "$1"
+source platform/stand_in/system.bash
+source tests/processes/raw_answers.bash
+log_to_files
+start_fronts
+
+# Puts the raw stand-in in the place of the store. Usage: break_store TEXT [QUERY]
+break_store() {
+    kill -KILL "${process[store-proxy]}"
+    wait "${process[store-proxy]}" 2>/dev/null
+    start utilities/buckthorndale-raw-stand-in raw-store
+    wait_for 5 "the raw store answers" curl -sf "http://127.0.0.1:$(port 26)/"
+    printf "$1" | curl -s -X POST --data-binary @- "http://127.0.0.1:$(port 26)/answer?${2:-}" >/dev/null
+}
+restore_store() {
+    kill -KILL "${process[raw-store]}"
+    wait "${process[raw-store]}" 2>/dev/null
+    unset 'process[raw-store]'
+    start utilities/buckthorndale-fault-proxy store-proxy
+    generation=$((generation + 1))
+    jq ".spec.version = $generation" "$folder/configuration.json" >"$folder/next.json"
+    put_configuration "$folder/next.json"
+    for i in 1 2 3; do
+        wait_for 10 "front-$i has the configuration again" grep -q "configuration in force generation=$generation " "$folder/front-$i.log"
+    done
+}
+generation=1
+
+# What a reader of the body would take for a store that is empty.
+empty='{"items":[],"events":[],"hasMore":false,"currentRev":99999999}'
+json_fields="Content-Type: application/json\r\n"
+length="Content-Length: ${#empty}\r\n"
+raw_answers "$sound_plain"
+
+# Usage: expect_service_beside NAME TEXT [QUERY]
+expect_service_beside() {
+    local n i
+    break_store "$2" "${3:-}"
+    for n in 1 2 3 4 5 6; do
+        for i in 1 2 3; do
+            lookup "$i" "$1-$i-$n"
+            expect "the status of $1-$i-$n" "$(status_in "$1-$i-$n")" 200
+            expect "the form of the answer to $1-$i-$n" "$(faults_of "$1-$i-$n" | tr '\n' ';')" ""
+        done
+        sleep 0.5
+    done
+    restore_store
+}
+
+expect_service_beside status-000 "HTTP/1.1 000 Trouble\r\n${json_fields}${length}\r\n${empty}"
+expect_service_beside status-100 "HTTP/1.1 100 Continue\r\n${json_fields}${length}\r\n${empty}"
+expect_service_beside status-600 "HTTP/1.1 600 Trouble\r\n${json_fields}${length}\r\n${empty}"
+
+finish
