transport: Reject heads with a line that begins with a blank

What callers saw: an endpoint in trouble sent a line such as " X-Bad: 1" within the head of a 200, and the caller got the answer with "Content-Type: application/json X-Bad: 1"; after the signature's line, it would have got another signature.

Cause: the parser takes such a line for the rest of the value before it, as HTTP/1.1 once allowed, and hides that it did. RFC 9112 (section 5.2) lets a gateway replace the answer by a 502, which is the safe choice: the line may as well be a field with a broken name.

The client now reads the head itself in portions, looks for such lines in what arrives, and leaves the rest to the parser as before. A broken beginning is still found at once, and the limits are the parser's.

--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -2,6 +2,8 @@
 
 #include "transport/http/client.hpp"
 
+#include "transport/http/folded_line_check.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -51,6 +53,11 @@
     return status >= first_final && status < end_of_statuses;
 }
 
+auto text_of(asio::const_buffer bytes) -> std::string_view
+{
+    return {static_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 /// Enables TCP keepalive, so that the system breaks a connection whose peer acknowledges nothing for this
 /// long, give or take a second.
 auto enable_keepalive_probes(asio::ip::tcp::socket& socket, state::duration max_unacknowledged) -> void
@@ -126,12 +133,29 @@
 
 auto response_stream::read_one_header(std::chrono::steady_clock::time_point deadline) -> awaitable<void>
 {
-    auto fault = boost::system::error_code{};
+    constexpr auto portion_size = std::size_t{4096};
+    auto check = folded_line_check{};
+    auto unchecked = text_of(buffer_.data());
     connection_->expires_at(deadline);
-    co_await beast::http::async_read_header(*connection_, buffer_, *parser_,
-                                            asio::redirect_error(use_awaitable, fault));
-    if (fault)
-        throw to_client_error(fault);
+    while (true) {
+        // The parser joins such a line to the value before it, which may be what signs the answer.
+        if (check.feed(unchecked))
+            throw client_error{client_fault::malformed, "a line of the headers begins with a blank"};
+        auto fault = boost::system::error_code{};
+        if (buffer_.size() > 0)
+            buffer_.consume(parser_->put(buffer_.data(), fault));
+        if (fault && fault != beast::http::error::need_more)
+            throw to_client_error(fault);
+        if (parser_->is_header_done())
+            co_return;
+        const auto portion = buffer_.prepare(portion_size);
+        const auto received =
+            co_await connection_->async_read_some(portion, asio::redirect_error(use_awaitable, fault));
+        if (fault)
+            throw to_client_error(fault);
+        buffer_.commit(received);
+        unchecked = text_of(asio::buffer(portion, received));
+    }
 }
 
 auto response_stream::read_some(state::duration timeout) -> awaitable<std::string>
--- a/tests/transport/invalid_answers.cpp
+++ b/tests/transport/invalid_answers.cpp
@@ -124,6 +124,58 @@
     BOOST_CHECK(!found.response_ && found.fault_ == http::client_fault::closed);
 }
 
+BOOST_AUTO_TEST_CASE(names_of_fields_are_tokens)
+{
+    constexpr auto bytes = 256;
+    const auto others = std::string{"!#$%&'*+-.^_`|~"};
+    for (auto byte = 0; byte < bytes; ++byte) {
+        const auto character = static_cast<char>(byte);
+        const auto is_letter_or_digit = (character >= 'a' && character <= 'z') ||
+                                        (character >= 'A' && character <= 'Z') ||
+                                        (character >= '0' && character <= '9');
+        const auto is_token = is_letter_or_digit || others.find(character) != std::string::npos;
+        // A colon ends the name.
+        if (character == ':')
+            continue;
+        const auto line = std::string{"X"} + character + "Y: 1\r\n";
+        for (const auto& head : {line + "Content-Length: 0\r\n", "Content-Length: 0\r\n" + line}) {
+            const auto found = read_answer("HTTP/1.1 200 OK\r\n" + head + "\r\n");
+            BOOST_CHECK_MESSAGE(is_token == found.response_.has_value(), "byte " << byte);
+            BOOST_CHECK(is_token || is_malformed(found));
+        }
+    }
+    BOOST_CHECK(is_malformed(read_answer("HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 0\r\n\r\n")));
+}
+
+BOOST_AUTO_TEST_CASE(lines_of_the_head_do_not_begin_with_a_blank)
+{
+    for (const auto* line : {" X: 1", "\tX: 1", " ", "\t", " \t1"}) {
+        const auto broken = std::string{line} + "\r\n";
+        BOOST_CHECK(is_malformed(read_answer("HTTP/1.1 200 OK\r\n" + broken + "Content-Length: 0\r\n\r\n")));
+        BOOST_CHECK(is_malformed(read_answer("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + broken + "\r\n")));
+        BOOST_CHECK(is_malformed(
+            read_answer("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX: 1\r\n" + broken + "\r\n")));
+        const auto body = read_answer("HTTP/1.1 200 OK\r\nX: 1\r\n\r\n" + broken);
+        BOOST_REQUIRE(body.response_);
+        BOOST_CHECK_EQUAL(body.response_->body(), broken);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(heads_in_many_pieces_are_read)
+{
+    constexpr auto fields = 100;
+    auto head = std::string{"HTTP/1.1 200 OK\r\n"};
+    for (auto count = 0; count < fields; ++count)
+        head += "X-Field-" + std::to_string(count) + ": " + std::string(50, 'v') + "\r\n";
+    const auto found = read_answer(head + "Content-Length: 4\r\n\r\nbody");
+    BOOST_REQUIRE(found.response_);
+    BOOST_CHECK_EQUAL(found.response_->body(), "body");
+    BOOST_CHECK_EQUAL(std::string{found.response_->at("X-Field-99")}, std::string(50, 'v'));
+    constexpr auto above_the_limit = std::size_t{10'000};
+    BOOST_CHECK(
+        is_malformed(read_answer("HTTP/1.1 200 OK\r\nX: " + std::string(above_the_limit, 'v') + "\r\n\r\n")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
