transport, front, router: Take no answer that is reset after its end

What callers saw: an endpoint answered a long upload at once with a 200 that had no length, sent a part of its body and closed while the upload was on its way. The caller got that part with a length of its own, or as a stream with its last chunk.

Cause: an answer without a length ends with its connection. A system that closes a socket while bytes for it are on their way sends an end first, and a reset for the bytes that come after it. The reader sees the end; the reset arrives up to a round trip later and was never looked at. A reset alone, at once or later, was seen as such before, and while the request is being written no answer is read.

After such an end the front program already waits for the endpoint to accept a connection, about 50 ms. It now looks at the state of the connection after that, and a reset makes the answer a broken one: repeated where that is allowed, else 502, and a stream that has begun is cut. The router took answers of plain services that ended with their connection unseen; it now does both as well.

Evidence: processes/answers_before_the_request_ends, uploads of 20 kB, 300 kB and 3.9 MB. Before: all 12 cases with an end and a reset got the part as whole, direct and by another instance; the cases with a reset alone held. Now all hold, and early answers that are whole are still passed on.

--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -116,6 +116,15 @@
     return found == fields.end() ? std::string{} : std::string{found->value()};
 }
 
+auto response_stream::was_reset() -> bool
+{
+    auto fault = 0;
+    auto size = socklen_t{sizeof(fault)};
+    const auto is_known =
+        ::getsockopt(connection_->socket().native_handle(), SOL_SOCKET, SO_ERROR, &fault, &size) == 0;
+    return is_known && fault != 0;
+}
+
 auto response_stream::read_header(state::duration timeout) -> awaitable<void>
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -59,6 +59,11 @@
     /// Whether the body has neither a length nor chunks, so that it ends with its connection.
     auto ends_with_connection() const -> bool { return !parser_->chunked() && !parser_->content_length(); }
 
+    /// Whether the peer has reset the connection, also after it had ended its side. A peer's system does so
+    /// when the peer closes while bytes of the request are on their way, so that a body which ends with its
+    /// connection may lack its rest. To be asked once.
+    auto was_reset() -> bool;
+
     /// The status line and all response headers.
     auto head() const -> const parser::value_type::header_type& { return parser_->get().base(); }
 
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -200,6 +200,8 @@
         co_await client_.is_reachable(state.attempt_.command_.address_, reachability_timeout);
     if (!is_reachable)
         state.result_.outcome_ = forward_outcome::crashed;
+    else if (state.attempt_.stream_->was_reset())
+        state.result_.outcome_ = forward_outcome::broken;
 }
 
 auto forward_runner::relay_event(progress& state, protocol::event_stream::raw_event event) -> void
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -49,7 +49,8 @@
         -> transport::http::awaitable<bool>;
     auto read_complete_answer(progress& state) -> transport::http::awaitable<void>;
     auto relay_stream(progress& state) -> transport::http::awaitable<void>;
-    /// An answer that ends with its connection counts as broken if its endpoint has gone.
+    /// An answer that ends with its connection counts as broken if its endpoint has gone or has reset the
+    /// connection.
     auto check_end(progress& state) -> transport::http::awaitable<void>;
     auto relay_event(progress& state, protocol::event_stream::raw_event event) -> void;
     auto classify_fault(progress& state, transport::http::client_fault fault)
--- a/services/router/attempt_runner.cpp
+++ b/services/router/attempt_runner.cpp
@@ -170,6 +170,15 @@
                                .content_type_ = stream.header("Content-Type"),
                                .body_ = std::move(body)};
     state.result_.kind_ = attempt_result_kind::complete;
+    if (!stream.ends_with_connection())
+        co_return;
+    // The connections of a process that ends, or that has not read the whole request, are closed like those
+    // of answers that are complete.
+    const auto is_alive = co_await client_.is_reachable(state.attempt_.order_.address_, probe_timeout);
+    if (!is_alive)
+        state.result_.kind_ = attempt_result_kind::crashed;
+    else if (stream.was_reset())
+        state.result_.kind_ = attempt_result_kind::broken;
 }
 
 auto attempt_runner::read_stream(progress& state) -> http::awaitable<void>
