--- a/tests/processes/broken_answers_of_the_store.sh
+++ b/tests/processes/broken_answers_of_the_store.sh
@@ -7,28 +7,6 @@
 log_to_files
 start_fronts
 
-# Puts the raw stand-in in the place of the store. Usage: break_store TEXT [QUERY]
-break_store() {
-    kill -KILL "${process[store-proxy]}"
-    wait "${process[store-proxy]}" 2>/dev/null
-    start utilities/buckthorndale-raw-stand-in raw-store
-    wait_for 5 "the raw store answers" curl -sf "http://127.0.0.1:$(port 26)/"
-    printf "$1" | curl -s -X POST --data-binary @- "http://127.0.0.1:$(port 26)/answer?${2:-}" >/dev/null
-}
-restore_store() {
-    kill -KILL "${process[raw-store]}"
-    wait "${process[raw-store]}" 2>/dev/null
-    unset 'process[raw-store]'
-    start utilities/buckthorndale-fault-proxy store-proxy
-    generation=$((generation + 1))
-    jq ".spec.version = $generation" "$folder/configuration.json" >"$folder/next.json"
-    put_configuration "$folder/next.json"
-    for i in 1 2 3; do
-        wait_for 10 "front-$i has the configuration again" grep -q "configuration in force generation=$generation " "$folder/front-$i.log"
-    done
-}
-generation=1
-
 # What a reader of the body would take for a store that is empty.
 empty='{"items":[],"events":[],"hasMore":false,"currentRev":99999999}'
 json_fields="Content-Type: application/json\r\n"
--- a/tests/processes/raw_answers.bash
+++ b/tests/processes/raw_answers.bash
@@ -1,17 +1,27 @@
 # Tests of how broken answers are read: a raw stand-in serves as an endpoint or as the store, and what callers receive is
 # judged byte by byte. Source tests/processes/system.bash and platform/stand_in/system.bash first.
 
+# Ports of the raw stand-in, and the header whose value it echoes.
+raw_port=22
+raw_control_port=23
+raw_echoed_header=X-Attempt-Id
+start_raw() {
+    echo "{ \"address\": \"127.0.0.1:$(port $raw_port)\", \"control\": \"127.0.0.1:$(port $raw_control_port)\", \"echoed_header\": \"$raw_echoed_header\" }" \
+        >"$folder/raw.json"
+    start utilities/buckthorndale-raw-stand-in raw
+    wait_for 5 "the raw stand-in answers" raw_arrivals
+}
+
 # The raw stand-in is desk-1 and engine-1; the other endpoints are sound. Instances reach the store by a proxy of its own.
 adjust_settings() {
     local i raw
-    raw="127.0.0.1:$(port 22)"
+    raw="127.0.0.1:$(port $raw_port)"
     edit_settings users-platform "(.endpoints[] | select(.id == \"desk-1\" or .id == \"engine-1\")).published = \"$raw\""
     edit_settings proxy "(.routes[] | select(.name == \"desk-1\" or .name == \"engine-1\")).target = \"$raw\""
-    echo "{ \"address\": \"$raw\", \"control\": \"127.0.0.1:$(port 23)\", \"echoed_header\": \"X-Attempt-Id\" }" >"$folder/raw.json"
-    start utilities/buckthorndale-raw-stand-in raw
     echo "{ \"control\": \"127.0.0.1:$(port 25)\", \"routes\": [ { \"name\": \"store\", \"target\": \"127.0.0.1:$(port 0)\", \"listen\": \"127.0.0.1:$(port 24)\" } ] }" \
         >"$folder/store-proxy.json"
-    echo "{ \"address\": \"127.0.0.1:$(port 24)\", \"control\": \"127.0.0.1:$(port 26)\" }" >"$folder/raw-store.json"
+    echo "{ \"address\": \"127.0.0.1:$(port 27)\", \"control\": \"127.0.0.1:$(port 28)\" }" >"$folder/raw-store.json"
+    start utilities/buckthorndale-raw-stand-in raw-store
     start utilities/buckthorndale-fault-proxy store-proxy
     for i in 1 2 3; do
         # With "front-1", that instance has an address of the store of its own.
@@ -24,7 +34,7 @@
           "targetGapMs": 800 },
         { "name": "archive", "host": "registry.example", "pathPrefix": "/archive/", "kind": "non_idempotent", "timeoutMs": 20000,
           "targetLatencyMs": 2000, "priority": 1, "service": "desk", "maxAttempts": 1 } ]'
-    wait_for 5 "the raw stand-in answers" raw_arrivals
+    start_raw
 }
 
 # Usage: edit_settings NAME JQ_FILTER
@@ -34,10 +44,10 @@
 
 # Sets the answer of the raw endpoint to a text in the notation of printf. Usage: raw_answers TEXT [QUERY]
 raw_answers() {
-    printf "$1" | curl -s -X POST --data-binary @- "http://127.0.0.1:$(port 23)/answer?${2:-}" >/dev/null
+    printf "$1" | curl -s -X POST --data-binary @- "http://127.0.0.1:$(port $raw_control_port)/answer?${2:-}" >/dev/null
 }
 # How many requests have reached the raw endpoint since its answer was set.
-raw_arrivals() { curl -s "http://127.0.0.1:$(port 23)/"; }
+raw_arrivals() { curl -s "http://127.0.0.1:$(port $raw_control_port)/"; }
 
 # The first fields of each of the raw endpoint's answers.
 raw_fields='X-Attempt-Id: @echo@\r\nX-Response-Stamp: raw\r\nX-Confidence: 90\r\nX-Raw: raw\r\n'
@@ -180,3 +190,22 @@
     count=$(grep -c action=relay "$folder/front-1.log")
     [ "$count" -ge "$1" ] || expect "requests that front-1 passed on" "$count" "$1 or more"
 }
+
+# Leads the instances' connections to the store to a raw stand-in, or back. Usage: break_store TEXT [QUERY]
+break_store() {
+    printf "$1" | curl -s -X POST --data-binary @- "http://127.0.0.1:$(port 28)/answer?${2:-}" >/dev/null
+    lead_to_store 27
+}
+lead_to_store() { curl -s "http://127.0.0.1:$(port 25)/target?route=store&address=127.0.0.1:$(port "$1")"; }
+# Also waits until each instance has a configuration that was written after that.
+generation=1
+restore_store() {
+    local i
+    lead_to_store 0
+    generation=$((generation + 1))
+    jq ".spec.version = $generation" "$folder/configuration.json" >"$folder/next.json"
+    put_configuration "$folder/next.json"
+    for i in 1 2 3; do
+        wait_for 10 "front-$i has the configuration again" grep -q "configuration in force generation=$generation " "$folder/front-$i.log"
+    done
+}
--- a/utilities/fault_proxy/main.cpp
+++ b/utilities/fault_proxy/main.cpp
@@ -16,7 +16,8 @@
 namespace http = transport::http;
 namespace fault_proxy = utilities::fault_proxy;
 
-/// The routes, and the call by which a test breaks one: GET /fault?route=NAME&kind=FAULT.
+/// The routes, and the calls by which a test breaks one, GET /fault?route=NAME&kind=FAULT, or leads it to
+/// another address, GET /target?route=NAME&address=ADDRESS.
 class proxy {
 public:
     proxy(http::asio::io_context& context, protocol::json::object_reader settings)
@@ -41,12 +42,17 @@
 
     auto control(http::exchange& exchange) -> http::awaitable<void>
     {
-        const auto query = http::split_target(exchange.message().target()).query_;
+        const auto target = http::split_target(exchange.message().target());
+        const auto& query = target.query_;
         const auto route = routes_.find(http::query_text(query, "route"));
         auto status = 404U;
         if (route != routes_.end()) {
             try {
-                route->second->set_fault(fault_proxy::route_fault_from(http::query_text(query, "kind")));
+                if (target.path_ == "/target")
+                    route->second->set_target(
+                        state::network_address_from_text(http::query_text(query, "address")));
+                else
+                    route->second->set_fault(fault_proxy::route_fault_from(http::query_text(query, "kind")));
                 status = 200U;
             } catch (const state::error&) {
                 status = 400U;
--- a/utilities/fault_proxy/proxied_route.cpp
+++ b/utilities/fault_proxy/proxied_route.cpp
@@ -69,11 +69,22 @@
     for (const auto& item : connections_) {
         if (fault == route_fault::silence || fault == route_fault::accept_silent)
             item->is_silent_ = true;
-        if (fault == route_fault::reset || fault == route_fault::refuse ||
-            fault == route_fault::accept_reset) {
-            reset(item->caller_);
-            reset(item->target_);
-        }
+    }
+    if (fault == route_fault::reset || fault == route_fault::refuse || fault == route_fault::accept_reset)
+        reset_connections();
+}
+
+auto proxied_route::set_target(const state::network_address& target) -> void
+{
+    target_ = target;
+    reset_connections();
+}
+
+auto proxied_route::reset_connections() -> void
+{
+    for (const auto& item : connections_) {
+        reset(item->caller_);
+        reset(item->target_);
     }
 }
 
--- a/utilities/fault_proxy/proxied_route.hpp
+++ b/utilities/fault_proxy/proxied_route.hpp
@@ -48,6 +48,9 @@
 
     auto set_fault(route_fault fault) -> void;
 
+    /// Resets the connections that are open now, and passes new ones on to another address.
+    auto set_target(const state::network_address& target) -> void;
+
 private:
     using socket = transport::http::asio::ip::tcp::socket;
 
@@ -62,6 +65,7 @@
     using connection_pointer = std::shared_ptr<connection>;
 
     auto accept() -> transport::http::awaitable<void>;
+    auto reset_connections() -> void;
     auto set_listening(bool is_listening) -> void;
     auto serve(connection_pointer item) -> transport::http::awaitable<void>;
     /// Keeps a connection without its target until a fault of this kind or the connection ends.
--- a/utilities/raw_stand_in/main.cpp
+++ b/utilities/raw_stand_in/main.cpp
@@ -19,8 +19,8 @@
 
 /// The listener, and the calls by which a test controls it. POST /answer sets the body of the call as the
 /// answer, of which the part after `@repeat@` is written without end. Its query may have reads=head,
-/// delay_ms=N before the answer, pause_ms=N after it, and end=close|reset|end_and_reset|hold. Each call
-/// returns the number of arrivals before it.
+/// delay_ms=N before the answer, interval_ms=N between portions of what is repeated, pause_ms=N after the
+/// answer, and end=close|reset|end_and_reset|hold. Each call returns the number of arrivals before it.
 class controlled_listener {
 public:
     controlled_listener(http::asio::io_context& context, protocol::json::object_reader settings)
@@ -44,6 +44,7 @@
         const auto end = http::query_text(query, "end");
         return {.text_ = body.substr(0, position),
                 .repeated_ = is_endless ? body.substr(position + repeat_mark.size()) : std::string{},
+                .interval_ = std::chrono::milliseconds{http::query_number(query, "interval_ms", 0)},
                 .end_ = end.empty() ? raw_stand_in::raw_end::close : raw_stand_in::raw_end_from(end),
                 .reads_body_ = http::query_text(query, "reads") != "head",
                 .delay_ = std::chrono::milliseconds{http::query_number(query, "delay_ms", 0)},
--- a/utilities/raw_stand_in/raw_answer.hpp
+++ b/utilities/raw_stand_in/raw_answer.hpp
@@ -27,6 +27,8 @@
     std::string text_;
     /// Written again and again after the text, without end; empty for an answer that ends.
     std::string repeated_;
+    /// Between two portions of what is repeated, of 16 KiB each.
+    std::chrono::milliseconds interval_{0};
     raw_end end_{raw_end::close};
     /// Whether the request is read to its end before it is answered, or its headers alone.
     bool reads_body_{true};
--- a/utilities/raw_stand_in/raw_listener.cpp
+++ b/utilities/raw_stand_in/raw_listener.cpp
@@ -83,8 +83,11 @@
     auto portion = std::string{};
     while (!answer.repeated_.empty() && portion.size() < portion_size)
         portion += answer.repeated_;
-    while (!portion.empty())
+    while (!portion.empty()) {
         co_await asio::async_write(connection, asio::buffer(portion), asio::use_awaitable);
+        if (answer.interval_ > std::chrono::milliseconds::zero())
+            co_await sleep(answer.interval_);
+    }
     co_await end(connection, answer);
 }
 
