transport, front: Bound the memory of all answers that are read whole

What was seen: the platform's store sent a body without end while endpoints did the same, and instances grew to 112 to 126 MB; the users' smallest machine has 88 MB and ends a process beyond that, with the requests of all its callers.

Cause: each answer of the store, an agent or another instance was read up to 16 MB, but an instance reads several at a time, one for each kind of object and its checks, and nothing bounded them together. Memory for the next part was taken before the limit was looked at.

Each client now bounds the bodies that it reads as a whole, together, at 8 MB, which is eight of the store's largest values; so do the router's answers of plain services. The bound of incomplete answers of endpoints falls from 16 to 8 MB for the same machine. Both are checked before the memory is taken. Heads, chunk sizes and interim responses without end held already, for the store as for endpoints.

--- a/services/front/answer_memory.hpp
+++ b/libraries/transport/http/answer_memory.hpp
@@ -4,7 +4,7 @@
 
 #include <cstddef>
 
-namespace buckthorndale::services::front {
+namespace buckthorndale::transport::http {
 
 /// Bounds the memory of all answers that are held until they are complete. Endpoints may send bytes without
 /// end, on many connections at once. Used on one thread.
@@ -23,12 +23,22 @@
         share(const share&) = delete;
         auto operator=(const share&) -> share& = delete;
 
-        /// Throws error of kind too_large if all answers together exceed the limit.
-        auto resize(std::size_t size) -> void
+        /// Takes memory for the whole of the answer so far, in bytes. Returns false, and takes none, if all
+        /// answers together would exceed the limit.
+        auto try_resize(std::size_t size) -> bool
         {
-            memory_.used_ += size - size_;
+            const auto used = memory_.used_ - size_ + size;
+            if (size > size_ && used > memory_.limit_)
+                return false;
+            memory_.used_ = used;
             size_ = size;
-            if (memory_.used_ > memory_.limit_)
+            return true;
+        }
+
+        /// Like try_resize(), but throws error of kind too_large.
+        auto resize(std::size_t size) -> void
+        {
+            if (!try_resize(size))
                 throw state::error{state::error_kind::too_large,
                                    "The incomplete answers of all endpoints are too large.",
                                    "Let endpoints stream large answers."};
@@ -44,4 +54,4 @@
     std::size_t used_{0};
 };
 
-} // namespace buckthorndale::services::front
+} // namespace buckthorndale::transport::http
--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -185,14 +185,17 @@
 
 auto response_stream::read_all(state::duration timeout, std::size_t max_bytes) -> awaitable<std::string>
 {
+    auto share = answer_memory::share{owner_->body_memory_};
     auto body = std::string{};
     while (true) {
         const auto chunk = co_await read_some(timeout);
         if (chunk.empty())
             co_return body;
-        body.append(chunk);
-        if (body.size() > max_bytes)
+        if (body.size() + chunk.size() > max_bytes)
             throw client_error{client_fault::malformed, "the response body is too large"};
+        if (!share.try_resize(body.size() + chunk.size()))
+            throw client_error{client_fault::malformed, "the response bodies are too large together"};
+        body.append(chunk);
     }
 }
 
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -2,6 +2,7 @@
 
 #include "state/network_address.hpp"
 #include "state/units.hpp"
+#include "transport/http/answer_memory.hpp"
 #include "transport/http/types.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -74,7 +75,8 @@
     /// Reads the next chunk of the body; empty at its end. Throws client_error.
     auto read_some(state::duration timeout) -> awaitable<std::string>;
 
-    /// Reads the rest of the body. Throws client_error, also when it is longer than `max_bytes`.
+    /// Reads the rest of the body. Throws client_error, also when it is longer than `max_bytes`, or when all
+    /// bodies that the client is reading so are too large together.
     auto read_all(state::duration timeout, std::size_t max_bytes) -> awaitable<std::string>;
 
     /// Returns the connection to the pool if the body was read to its end; otherwise closes it.
@@ -168,11 +170,12 @@
     static constexpr auto default_max_unacknowledged = state::duration{std::chrono::milliseconds{1200}};
     /// Maximum number of idle connections kept for each peer.
     static constexpr std::size_t max_idle_connections{32};
-    /// Maximum size of a response body that fetch() reads.
-    static constexpr std::size_t max_fetched_bytes{16'777'216};
+    /// Maximum size of all response bodies that are read as a whole at the same time.
+    static constexpr std::size_t max_fetched_bytes{8'388'608};
 
     asio::io_context& context_;
     state::duration max_unacknowledged_;
+    answer_memory body_memory_{max_fetched_bytes};
     std::map<state::network_address, std::vector<std::unique_ptr<beast::tcp_stream>>> idle_;
 };
 
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -37,7 +37,7 @@
     auto state = progress{.call_ = *call,
                           .attempt_ = *attempt,
                           .on_headers_ = std::move(on_headers),
-                          .buffered_ = answer_memory::share{memory_}};
+                          .buffered_ = http::answer_memory::share{memory_}};
     state.result_.attempt_ = attempt->command_.attempt_;
     auto fault = std::optional<http::client_fault>{};
     try {
@@ -152,8 +152,8 @@
         const auto bytes = co_await attempt.stream_->read_some(remaining);
         if (bytes.empty())
             break;
+        state.buffered_.resize(answer.body().size() + bytes.size());
         answer.body().append(bytes);
-        state.buffered_.resize(answer.body().size());
     }
     answer.prepare_payload();
     attempt.answer_ = std::move(answer);
--- a/services/front/forward_runner.hpp
+++ b/services/front/forward_runner.hpp
@@ -2,10 +2,10 @@
 
 #include "coordination/forwarding/forward_attempt_result.hpp"
 #include "coordination/forwarding/forward_engine.hpp"
-#include "front/answer_memory.hpp"
 #include "front/forwarded_call.hpp"
 #include "platform/endpoint_codec.hpp"
 #include "protocol/event_stream/raw_splitter.hpp"
+#include "transport/http/answer_memory.hpp"
 #include "transport/http/client.hpp"
 #include "transport/logging/logger.hpp"
 #include "transport/process/clock.hpp"
@@ -37,7 +37,7 @@
         headers_callback on_headers_;
         coordination::forwarding::forward_attempt_result result_;
         protocol::event_stream::raw_splitter splitter_;
-        answer_memory::share buffered_;
+        transport::http::answer_memory::share buffered_;
         bool has_received_events_{false};
         state::time_point headers_received_at_;
     };
@@ -57,12 +57,12 @@
         -> transport::http::awaitable<void>;
 
     /// In bytes; leaves most of an instance's memory to its other work.
-    static constexpr std::size_t max_buffered_bytes{16'777'216};
+    static constexpr std::size_t max_buffered_bytes{8'388'608};
 
     transport::process::system_clock clock_;
     transport::logging::logger log_{"network"};
     transport::http::client& client_;
-    answer_memory memory_{max_buffered_bytes};
+    transport::http::answer_memory memory_{max_buffered_bytes};
 };
 
 } // namespace buckthorndale::services::front
