transport, front, router: Bound the bytes that wait for a slow caller

What was seen: an endpoint sent events of 60 kB without end to callers that read nothing, and the instance grew to 347 MB with 22 such streams, and to 225 MB where it passed the streams on from another instance. The users' smallest machine has 88 MB; beyond that the process ends with the requests of all its callers.

Cause: reading from an endpoint pauses once 256 events wait for a caller. The number of events was bounded, but not their size.

The queue of a caller now counts bytes too, and reading pauses at 64 KiB, which is what one read brings. The router's queue is the same one. An event without end, small events and callers that read all held already; the first has its bound elsewhere.

--- a/libraries/transport/ring/awaitable_queue.hpp
+++ b/libraries/transport/ring/awaitable_queue.hpp
@@ -17,17 +17,20 @@
 template <typename Item>
 class awaitable_queue {
 public:
-    /// wait_for_room() waits while more than `max_queued` items are queued.
-    awaitable_queue(boost::asio::io_context& context, std::size_t max_queued)
-        : max_queued_{max_queued}, not_empty_{context, boost::asio::steady_timer::time_point::max()},
+    /// wait_for_room() waits while more than `max_queued` items, or more than `max_bytes` bytes, are queued.
+    awaitable_queue(boost::asio::io_context& context, std::size_t max_queued, std::size_t max_bytes)
+        : max_queued_{max_queued}, max_bytes_{max_bytes},
+          not_empty_{context, boost::asio::steady_timer::time_point::max()},
           not_full_{context, boost::asio::steady_timer::time_point::max()}
     {}
 
-    auto push(Item item) -> void
+    /// `bytes` is what the item counts for beside being one.
+    auto push(Item item, std::size_t bytes = 0) -> void
     {
         if (is_closed_)
             return;
-        items_.push_back(std::move(item));
+        items_.push_back({.item_ = std::move(item), .bytes_ = bytes});
+        queued_bytes_ += bytes;
         not_empty_.cancel();
     }
 
@@ -38,7 +41,8 @@
             co_await wait_on(not_empty_);
         if (is_closed_)
             co_return std::nullopt;
-        auto item = std::optional<Item>{std::move(items_.front())};
+        auto item = std::optional<Item>{std::move(items_.front().item_)};
+        queued_bytes_ -= items_.front().bytes_;
         items_.pop_front();
         not_full_.cancel();
         co_return item;
@@ -47,7 +51,7 @@
     /// Applies back pressure: waits until the consumer has caught up or the queue is closed.
     auto wait_for_room() -> boost::asio::awaitable<void>
     {
-        while (items_.size() > max_queued_ && !is_closed_)
+        while ((items_.size() > max_queued_ || queued_bytes_ > max_bytes_) && !is_closed_)
             co_await wait_on(not_full_);
     }
 
@@ -56,11 +60,17 @@
     {
         is_closed_ = true;
         items_.clear();
+        queued_bytes_ = 0;
         not_empty_.cancel();
         not_full_.cancel();
     }
 
 private:
+    struct queued_item {
+        Item item_;
+        std::size_t bytes_{0};
+    };
+
     static auto wait_on(boost::asio::steady_timer& timer) -> boost::asio::awaitable<void>
     {
         auto ignored = boost::system::error_code{};
@@ -68,7 +78,9 @@
     }
 
     std::size_t max_queued_;
-    std::deque<Item> items_;
+    std::size_t max_bytes_;
+    std::deque<queued_item> items_;
+    std::size_t queued_bytes_{0};
     boost::asio::steady_timer not_empty_;
     boost::asio::steady_timer not_full_;
     bool is_closed_{false};
--- a/services/front/answer_queue.hpp
+++ b/services/front/answer_queue.hpp
@@ -35,7 +35,8 @@
 /// Output for one caller, in order. Both ends are used on the network thread only.
 using answer_queue = transport::ring::awaitable_queue<answer_item>;
 
-/// Queued items after which reading from the endpoint pauses until a slow caller catches up.
+/// Queued items and bytes after which reading from the endpoint pauses until a slow caller catches up.
 inline constexpr auto max_queued_items = std::size_t{256};
+inline constexpr auto max_queued_bytes = std::size_t{65'536};
 
 } // namespace buckthorndale::services::front
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -226,7 +226,8 @@
         call.last_event_ = event.id_;
     }
     ++state.result_.events_;
-    call.output_.push(answer_chunk{std::move(event.bytes_)});
+    const auto size = event.bytes_.size();
+    call.output_.push(answer_chunk{std::move(event.bytes_)}, size);
 }
 
 auto forward_runner::classify_fault(progress& state, http::client_fault fault) -> http::awaitable<void>
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -45,7 +45,7 @@
 struct forwarded_call {
     forwarded_call(transport::http::asio::io_context& context, state::request_handle handle,
                    transport::http::request message, bool is_relayed)
-        : handle_{handle}, message_{std::move(message)}, output_{context, max_queued_items},
+        : handle_{handle}, message_{std::move(message)}, output_{context, max_queued_items, max_queued_bytes},
           is_relayed_{is_relayed}
     {}
 
--- a/services/router/attempt_runner.cpp
+++ b/services/router/attempt_runner.cpp
@@ -51,7 +51,8 @@
         request.output_.push(answer_begun{.version_ = attempt.order_.version_,
                                           .attempts_ = static_cast<int>(request.attempts_.size())});
     }
-    request.output_.push(answer_chunk{std::move(data)});
+    const auto size = data.size();
+    request.output_.push(answer_chunk{std::move(data)}, size);
 }
 
 auto attempt_runner::run(std::shared_ptr<caller_request> request, std::shared_ptr<network_attempt> attempt,
--- a/services/router/caller_request.hpp
+++ b/services/router/caller_request.hpp
@@ -32,7 +32,7 @@
 /// State of a caller's request in the network worker, from its arrival to its final answer.
 struct caller_request {
     caller_request(transport::http::asio::io_context& context, state::request_handle handle)
-        : handle_{handle}, output_{context, max_queued_outputs}
+        : handle_{handle}, output_{context, max_queued_outputs, max_queued_bytes}
     {}
 
     state::request_handle handle_;
--- a/services/router/output_queue.hpp
+++ b/services/router/output_queue.hpp
@@ -34,7 +34,8 @@
 /// Items to be sent to one caller, in order. Used by the network thread only.
 using output_queue = transport::ring::awaitable_queue<output_item>;
 
-/// Items queued for a slow caller before reading from its endpoint pauses.
+/// Items and bytes queued for a slow caller before reading from its endpoint pauses.
 inline constexpr auto max_queued_outputs = std::size_t{256};
+inline constexpr auto max_queued_bytes = std::size_t{65'536};
 
 } // namespace buckthorndale::services::router
--- a/tests/transport/rings_and_messages.cpp
+++ b/tests/transport/rings_and_messages.cpp
@@ -51,7 +51,7 @@
 BOOST_AUTO_TEST_CASE(the_consumer_of_a_closed_queue_waits_for_ever)
 {
     auto context = boost::asio::io_context{};
-    auto queue = transport::ring::awaitable_queue<int>{context, 1};
+    auto queue = transport::ring::awaitable_queue<int>{context, 1, 1};
     auto has_ended = false;
     const auto consume = [&]() -> boost::asio::awaitable<void> {
         while (co_await queue.next())
@@ -67,6 +67,45 @@
     BOOST_TEST(has_ended);
 }
 
+BOOST_AUTO_TEST_CASE(a_producer_waits_for_room_for_items_and_bytes)
+{
+    constexpr auto max_items = std::size_t{2};
+    constexpr auto max_bytes = std::size_t{10};
+    auto context = boost::asio::io_context{};
+    auto queue = transport::ring::awaitable_queue<int>{context, max_items, max_bytes};
+    auto has_room = 0;
+    const auto produce = [&]() -> boost::asio::awaitable<void> {
+        co_await queue.wait_for_room();
+        ++has_room;
+    };
+    const auto consume = [&]() -> boost::asio::awaitable<void> { co_await queue.next(); };
+    const auto run = [&](boost::asio::awaitable<void> task) {
+        boost::asio::co_spawn(context, std::move(task), boost::asio::detached);
+        context.restart();
+        context.poll();
+    };
+    queue.push(1, max_bytes);
+    run(produce());
+    BOOST_TEST(has_room == 1);
+    queue.push(2, 1);
+    run(produce());
+    BOOST_TEST(has_room == 1);
+    run(consume());
+    BOOST_TEST(has_room == 2);
+    queue.push(3);
+    queue.push(4);
+    run(produce());
+    BOOST_TEST(has_room == 2);
+    run(consume());
+    BOOST_TEST(has_room == 3);
+    queue.push(5, max_bytes + 1);
+    run(produce());
+    BOOST_TEST(has_room == 3);
+    queue.close();
+    context.poll();
+    BOOST_TEST(has_room == 4);
+}
+
 BOOST_AUTO_TEST_CASE(a_ticker_goes_on)
 {
     auto context = boost::asio::io_context{};
