front, coordination: Answer what is unfinished when a stop ends

What callers saw: in a planned stop of one instance, requests that it had taken within 3 s after the signal and passed on were cut without an answer at 0.92 of the time for the stop, among them requests that may not be repeated.

Cause: when the time was over, the process ended with its requests inside, and the system closed their connections.

The instance now ends them first: the engine refuses each by what it did, 503 for one that still waits, 502 for one that may run, and a stream that has begun is cut as before, since its head is out. The process waits up to 200 ms for these answers to be written. With the smallest time for a stop in use, 6 s, that ends at 5.7 s.

--- a/libraries/coordination/forwarding/forward_engine.hpp
+++ b/libraries/coordination/forwarding/forward_engine.hpp
@@ -204,6 +204,9 @@
             stop_began_ = clock_.now();
     }
 
+    /// Refuses all requests that have not ended, so that each caller gets an answer before the process ends.
+    auto end_stop() -> void;
+
     /// Whether the configuration, endpoints, roll-outs and emptied data centres are known and no shutdown has
     /// begun.
     auto is_ready() const -> bool
--- a/libraries/coordination/forwarding/forward_engine_requests.hpp
+++ b/libraries/coordination/forwarding/forward_engine_requests.hpp
@@ -490,6 +490,25 @@
     }
 }
 
+template <time::clock_source Clock, time::random_source Random, forward_port Port>
+auto forward_engine<Clock, Random, Port>::end_stop() -> void
+{
+    auto unfinished = std::vector<state::request_handle>{};
+    for (const auto& [handle, item] : entries_)
+        unfinished.push_back(handle);
+    for (const auto handle : unfinished) {
+        auto& item = entries_.at(handle);
+        if (item.attempt_)
+            abandon_attempt(item);
+        if (item.may_have_run_)
+            refuse(item, state::error_kind::outcome_unknown,
+                   "This instance stops before the endpoint has answered; the request may have run.");
+        else
+            refuse(item, state::error_kind::shutting_down,
+                   "This instance is shutting down. Send the request to another instance.");
+    }
+}
+
 template <time::clock_source Clock, time::random_source Random, forward_port Port>
 auto forward_engine<Clock, Random, Port>::sweep_waiting(state::time_point now) -> void
 {
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -119,6 +119,11 @@
     http::asio::post(worker_.context(), [this] { post_to_decision(stop_requested{}); });
 }
 
+auto control_worker::end_stop() -> void
+{
+    http::asio::post(worker_.context(), [this] { post_to_decision(stop_overdue{}); });
+}
+
 auto control_worker::kinds() -> std::vector<followed_kind*>
 {
     auto kinds = std::vector{&configuration_, &endpoints_, &roll_outs_};
--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -59,6 +59,9 @@
     /// Tells the decision worker that the process is stopping; any thread.
     auto begin_stop() -> void;
 
+    /// Tells the decision worker to end all requests, as the process is about to end; any thread.
+    auto end_stop() -> void;
+
 private:
     /// State of following one kind of object.
     struct followed_kind {
--- a/services/front/decision_worker.cpp
+++ b/services/front/decision_worker.cpp
@@ -89,6 +89,7 @@
                    },
                    [this](const peer_message_received& item) { handle_peer_message(item.message_); },
                    [this](const stop_requested&) { engine_.begin_stop(); },
+                   [this](const stop_overdue&) { engine_.end_stop(); },
                },
                event);
     update_gauge();
--- a/services/front/events.hpp
+++ b/services/front/events.hpp
@@ -91,9 +91,12 @@
 
 struct stop_requested {};
 
-using control_event =
-    std::variant<table_published, freshness_changed, endpoints_published, roll_outs_published,
-                 emptied_data_centres_published, instances_published, peer_message_received, stop_requested>;
+/// The time for unfinished requests is over.
+struct stop_overdue {};
+
+using control_event = std::variant<table_published, freshness_changed, endpoints_published,
+                                   roll_outs_published, emptied_data_centres_published, instances_published,
+                                   peer_message_received, stop_requested, stop_overdue>;
 
 // Actions that the decision worker requests from the network worker.
 
--- a/services/front/main.cpp
+++ b/services/front/main.cpp
@@ -21,8 +21,11 @@
 constexpr auto load_balancer_delay = state::duration{std::chrono::milliseconds{2400}};
 /// Time for requests that were in transit when the last idle connections were closed.
 constexpr auto settling_time = state::duration{std::chrono::milliseconds{800}};
-/// Fraction of the stop timeout after which open streams are cut, before the process is killed.
+/// Fraction of the stop timeout after which unfinished requests are ended, before the process is killed.
 constexpr auto drain_fraction = 0.92;
+/// Time for the answers to requests that were still unfinished then.
+constexpr auto last_answers_time = state::duration{std::chrono::milliseconds{200}};
+constexpr auto last_answers_poll_interval = state::duration{std::chrono::milliseconds{10}};
 constexpr auto drain_poll_interval = state::duration{std::chrono::milliseconds{100}};
 constexpr auto signal_timeout = state::duration{std::chrono::seconds{30}};
 
@@ -47,9 +50,24 @@
     }
 }
 
-/// Waits for unfinished requests; the load balancer sends new ones for a while after the stop signal.
+/// Ends the requests that are unfinished when the time for the stop is over; each caller gets an answer.
+auto end_requests(const front::decision_worker& decision, front::control_worker& control,
+                  const front::network_worker& network, const transport::logging::logger& log) -> void
+{
+    log.warn("stopping requests_cut=" + std::to_string(decision.requests_inside()) +
+             " reason=\"they did not end in time\"");
+    control.end_stop();
+    const auto clock = process::system_clock{};
+    const auto deadline = clock.now() + last_answers_time;
+    while (network.open_calls() > 0 && clock.now() < deadline)
+        process::wait_for_signal(last_answers_poll_interval);
+    log.info("stopped requests_without_answer=" + std::to_string(network.open_calls()));
+}
+
+/// Waits for unfinished requests; the load balancer sends new ones for a while after the stop signal. Returns
+/// whether all have ended in time.
 auto drain(const front::front_settings& settings, const front::decision_worker& decision,
-           front::network_worker& network, const transport::logging::logger& log) -> void
+           front::network_worker& network, const transport::logging::logger& log) -> bool
 {
     const auto clock = process::system_clock{};
     const auto started_at = clock.now();
@@ -63,11 +81,10 @@
         const auto is_empty = decision.requests_inside() == 0 && network.open_calls() == 0;
         if (elapsed >= load_balancer_delay + settling_time && is_empty) {
             log.info("stopped requests_cut=0");
-            return;
+            return true;
         }
     }
-    log.warn("stopped requests_cut=" + std::to_string(decision.requests_inside()) +
-             " reason=\"they did not end in time\"");
+    return false;
 }
 
 auto run(const process::command_line& command) -> void
@@ -98,7 +115,9 @@
     log.info("stopping requests_inside=" + std::to_string(decision.requests_inside()));
     control.begin_stop();
     network.announce_closing();
-    drain(settings, decision, network, log);
+    const auto is_drained = drain(settings, decision, network, log);
+    if (!is_drained)
+        end_requests(decision, control, network, log);
     network.stop();
     decision.stop();
     control.stop();
--- a/tests/coordination/forward_engine.cpp
+++ b/tests/coordination/forward_engine.cpp
@@ -375,6 +375,33 @@
     BOOST_TEST(!engine_.is_ready());
 }
 
+BOOST_AUTO_TEST_CASE(requests_that_outlast_a_stop_are_refused_by_what_they_did)
+{
+    set_route(state::request_kind::non_idempotent, false);
+    // More than can run at the same time.
+    for (auto handle = 1U; handle <= 100; ++handle)
+        send_request(handle);
+    const auto running = port_.commands_.size();
+    const auto unfinished = engine_.size();
+    BOOST_REQUIRE(running > 0U);
+    BOOST_REQUIRE(unfinished > running);
+    engine_.begin_stop();
+    wait(2s);
+    port_.refusals_.clear();
+    engine_.end_stop();
+    BOOST_TEST(engine_.size() == 0U);
+    BOOST_TEST(port_.refusals_.size() == unfinished);
+    BOOST_TEST(port_.cancelled_.size() == running);
+    const auto count = [&](state::error_kind kind, coordination::routing::run_state run) {
+        return static_cast<std::size_t>(std::ranges::count_if(port_.refusals_, [&](const auto& refusal) {
+            return refusal.kind_ == kind && refusal.run_ == run;
+        }));
+    };
+    using coordination::routing::run_state;
+    BOOST_TEST(count(state::error_kind::outcome_unknown, run_state::unknown) == running);
+    BOOST_TEST(count(state::error_kind::shutting_down, run_state::not_run) == unfinished - running);
+}
+
 /// The stream at the leaving endpoint runs on; first attempts, escalations, retries and resumptions avoid it.
 BOOST_AUTO_TEST_CASE(an_endpoint_that_announces_its_shutdown_gets_nothing_new)
 {
--- a/tests/processes/raw_answers.bash
+++ b/tests/processes/raw_answers.bash
@@ -49,6 +49,9 @@
 # How many requests have reached the raw endpoint since its answer was set.
 raw_arrivals() { curl -s "http://127.0.0.1:$(port $raw_control_port)/"; }
 
+# How many times a request has reached it. Usage: raw_arrivals_of NAME
+raw_arrivals_of() { curl -s "http://127.0.0.1:$(port $raw_control_port)/?of=$1"; }
+
 # The first fields of each of the raw endpoint's answers.
 raw_fields='X-Attempt-Id: @echo@\r\nX-Response-Stamp: raw\r\nX-Confidence: 90\r\nX-Raw: raw\r\n'
 plain_fields="${raw_fields}Content-Type: application/json\r\n"
@@ -87,7 +90,8 @@
     {
         printf '%s %s HTTP/1.1\r\nHost: registry.example\r\nX-Attempt-Id: %s\r\nConnection: close\r\n' "$method" "$path" "$name"
         printf 'Authorization: Bearer harbour-key\r\n'
-        for header in 'X-Deadline-Ms: 4000' "$@"; do printf '%s\r\n' "$header"; done
+        [[ "$*" = *X-Deadline-Ms* ]] || set -- "$@" "X-Deadline-Ms: 4000"
+        for header in "$@"; do printf '%s\r\n' "$header"; done
         printf 'Content-Length: %s\r\n\r\n' "$(stat -c %s "$folder/$name.body")"
         cat "$folder/$name.body"
     } >"$folder/$name.request"
--- a/utilities/raw_stand_in/main.cpp
+++ b/utilities/raw_stand_in/main.cpp
@@ -20,7 +20,8 @@
 /// The listener, and the calls by which a test controls it. POST /answer sets the body of the call as the
 /// answer, of which the part after `@repeat@` is written without end. Its query may have reads=head,
 /// delay_ms=N before the answer, interval_ms=N between portions of what is repeated, pause_ms=N after the
-/// answer, and end=close|reset|end_and_reset|hold. Each call returns the number of arrivals before it.
+/// answer, and end=close|reset|end_and_reset|hold. Each call returns the number of arrivals before it, and
+/// with of=VALUE those whose echoed header has this value.
 class controlled_listener {
 public:
     controlled_listener(http::asio::io_context& context, protocol::json::object_reader settings)
@@ -54,7 +55,8 @@
     auto control(http::exchange& exchange) -> http::awaitable<void>
     {
         const auto target = http::split_target(exchange.message().target());
-        const auto arrivals = listener_.arrivals();
+        const auto value = http::query_text(target.query_, "of");
+        const auto arrivals = value.empty() ? listener_.arrivals() : listener_.arrivals_of(value);
         if (target.path_ == "/answer")
             listener_.set_answer(answer_from(target.query_, exchange.message().body()));
         co_await exchange.send(http::make_response(200, "text/plain", std::to_string(arrivals)));
--- a/utilities/raw_stand_in/raw_listener.cpp
+++ b/utilities/raw_stand_in/raw_listener.cpp
@@ -55,6 +55,12 @@
     arrivals_ = 0;
 }
 
+auto raw_listener::arrivals_of(const std::string& value) const -> std::uint64_t
+{
+    const auto found = arrivals_by_value_.find(value);
+    return found == arrivals_by_value_.end() ? 0 : found->second;
+}
+
 auto raw_listener::accept() -> http::awaitable<void>
 {
     while (true) {
@@ -70,15 +76,18 @@
     parser.body_limit(boost::none);
     co_await http::beast::http::async_read_header(connection, buffer, parser, asio::use_awaitable);
     // Health checks do not have the header that is echoed.
-    if (!http::header_text(parser.get(), echoed_header_).empty())
+    const auto echoed = http::header_text(parser.get(), echoed_header_);
+    if (!echoed.empty()) {
         ++arrivals_;
+        ++arrivals_by_value_[echoed];
+    }
     const auto answer = answer_;
     if (answer.reads_body_)
         co_await http::beast::http::async_read(connection, buffer, parser, asio::use_awaitable);
     if (answer.delay_ > std::chrono::milliseconds::zero())
         co_await sleep(answer.delay_);
     auto text = answer.text_;
-    boost::replace_all(text, echo_mark, http::header_text(parser.get(), echoed_header_));
+    boost::replace_all(text, echo_mark, echoed);
     co_await asio::async_write(connection, asio::buffer(text), asio::use_awaitable);
     auto portion = std::string{};
     while (!answer.repeated_.empty() && portion.size() < portion_size)
--- a/utilities/raw_stand_in/raw_listener.hpp
+++ b/utilities/raw_stand_in/raw_listener.hpp
@@ -5,6 +5,7 @@
 #include "transport/http/types.hpp"
 
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace buckthorndale::utilities::raw_stand_in {
@@ -25,6 +26,9 @@
     /// Requests with the echoed header that have arrived since the answer was set.
     auto arrivals() const -> std::uint64_t { return arrivals_; }
 
+    /// Requests whose echoed header had this value, since the start.
+    auto arrivals_of(const std::string& value) const -> std::uint64_t;
+
 private:
     using socket = transport::http::asio::ip::tcp::socket;
 
@@ -38,6 +42,7 @@
     std::string echoed_header_;
     raw_answer answer_;
     std::uint64_t arrivals_{0};
+    std::map<std::string, std::uint64_t> arrivals_by_value_;
 };
 
 } // namespace buckthorndale::utilities::raw_stand_in
