--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -35,22 +35,22 @@
     return {client_fault::closed, code.message()};
 }
 
+constexpr auto first_final_status = 200U;
+
 /// Whether the status announces a later response to the same request. 101 would change the protocol, which
 /// no request here asks for.
 auto is_interim(unsigned status) -> bool
 {
     constexpr auto first_interim = 100U;
     constexpr auto switching_protocols = 101U;
-    constexpr auto first_final = 200U;
-    return status >= first_interim && status < first_final && status != switching_protocols;
+    return status >= first_interim && status < first_final_status && status != switching_protocols;
 }
 
 /// Whether the status ends a request (RFC 9110, section 15).
 auto is_final(unsigned status) -> bool
 {
-    constexpr auto first_final = 200U;
     constexpr auto end_of_statuses = 600U;
-    return status >= first_final && status < end_of_statuses;
+    return status >= first_final_status && status < end_of_statuses;
 }
 
 auto text_of(asio::const_buffer bytes) -> std::string_view
@@ -185,7 +185,9 @@
 
 auto response_stream::read_all(state::duration timeout, std::size_t max_bytes) -> awaitable<std::string>
 {
-    auto share = answer_memory::share{owner_->body_memory_};
+    // Outlives the client if its coroutines are destroyed later.
+    const auto memory = owner_->body_memory_;
+    auto share = answer_memory::share{*memory};
     auto body = std::string{};
     while (true) {
         const auto chunk = co_await read_some(timeout);
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -175,7 +175,7 @@
 
     asio::io_context& context_;
     state::duration max_unacknowledged_;
-    answer_memory body_memory_{max_fetched_bytes};
+    std::shared_ptr<answer_memory> body_memory_{std::make_shared<answer_memory>(max_fetched_bytes)};
     std::map<state::network_address, std::vector<std::unique_ptr<beast::tcp_stream>>> idle_;
 };
 
