--- a/tests/processes/raw_answers.bash
+++ b/tests/processes/raw_answers.bash
@@ -60,7 +60,7 @@
 sound_events='id: 1\ndata: event 1\n\nid: 2\ndata: event 2\n\nid: 3\ndata: event 3\n\n'
 sound_stream="HTTP/1.1 200 OK\r\n${stream_fields}\r\n${sound_events}"
 
-# Leaves the raw endpoint as the only one of its services, or registers the others again.
+# Leaves the raw endpoint as the only one of its services.
 remove_sound_endpoints() {
     local id
     for id in desk-2 engine-2 engine-3; do
@@ -68,17 +68,6 @@
     done
     sleep 0.5
 }
-add_endpoint() {
-    curl -s -X POST "http://127.0.0.1:$(port 0)/objects/servers" -o /dev/null -d "{ \"metadata\": { \"name\": \"$1\" },
-        \"spec\": { \"service\": \"$2\", \"address\": \"127.0.0.1:$(port "$3")\", \"zone\": \"north-1\", \"version\": \"v1\",
-        \"slots\": 8, \"state\": \"ready\", \"sequence\": 1, \"born\": 2 } }"
-}
-add_sound_endpoints() {
-    add_endpoint desk-2 desk 6
-    add_endpoint engine-2 advice 3
-    add_endpoint engine-3 advice 4
-    sleep 0.5
-}
 
 # Sends a request over a connection of its own. Records all bytes that come back in FOLDER/NAME.answer, and in
 # FOLDER/NAME.end how the connection ended: closed, reset, or open after 12 seconds. The body is standard input.
