tests: Keep the check beside a broken store in one place

The two tests of the store each had the same function, which differed in the check of memory alone. It stands in raw_answers.bash now, and the test of answers without end names that check. The requests, bounds and checks are the same; no caller is concerned and nothing failed before.

--- a/tests/processes/broken_answers_of_the_store.sh
+++ b/tests/processes/broken_answers_of_the_store.sh
@@ -13,21 +13,6 @@
 length="Content-Length: ${#empty}\r\n"
 raw_answers "$sound_plain"
 
-# Usage: expect_service_beside NAME TEXT [QUERY]
-expect_service_beside() {
-    local n i
-    break_store "$2" "${3:-}"
-    for n in 1 2 3 4 5 6; do
-        for i in 1 2 3; do
-            lookup "$i" "$1-$i-$n"
-            expect "the status of $1-$i-$n" "$(status_in "$1-$i-$n")" 200
-            expect "the form of the answer to $1-$i-$n" "$(faults_of "$1-$i-$n" | tr '\n' ';')" ""
-        done
-        sleep 0.5
-    done
-    restore_store
-}
-
 expect_service_beside status-000 "HTTP/1.1 000 Trouble\r\n${json_fields}${length}\r\n${empty}"
 expect_service_beside status-100 "HTTP/1.1 100 Continue\r\n${json_fields}${length}\r\n${empty}"
 expect_service_beside status-600 "HTTP/1.1 600 Trouble\r\n${json_fields}${length}\r\n${empty}"
--- a/tests/processes/endless_answers_of_the_store.sh
+++ b/tests/processes/endless_answers_of_the_store.sh
@@ -18,24 +18,9 @@
     done
     echo "$1: peaks in kB:$peaks"
 }
+check_beside_store=expect_peaks
 raw_answers "$sound_plain"
 
-# Usage: expect_service_beside NAME TEXT [QUERY]
-expect_service_beside() {
-    local n i
-    break_store "$2" "${3:-}"
-    for n in 1 2 3 4 5 6; do
-        for i in 1 2 3; do
-            lookup "$i" "$1-$i-$n"
-            expect "the status of $1-$i-$n" "$(status_in "$1-$i-$n")" 200
-            expect "the form of the answer to $1-$i-$n" "$(faults_of "$1-$i-$n" | tr '\n' ';')" ""
-        done
-        sleep 0.5
-    done
-    expect_peaks "$1"
-    restore_store
-}
-
 json_head="HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 expect_service_beside field "${json_head}X-Filler: @repeat@yyyy"
 expect_service_beside fields "${json_head}@repeat@X-Filler: yyyy\r\n"
--- a/tests/processes/raw_answers.bash
+++ b/tests/processes/raw_answers.bash
@@ -202,3 +202,21 @@
         wait_for 10 "front-$i has the configuration again" grep -q "configuration in force generation=$generation " "$folder/front-$i.log"
     done
 }
+
+# Called with the name of a case while the store is broken.
+check_beside_store=:
+# Checks that all instances serve while the store sends an answer. Usage: expect_service_beside NAME TEXT [QUERY]
+expect_service_beside() {
+    local n i
+    break_store "$2" "${3:-}"
+    for n in 1 2 3 4 5 6; do
+        for i in 1 2 3; do
+            lookup "$i" "$1-$i-$n"
+            expect "the status of $1-$i-$n" "$(status_in "$1-$i-$n")" 200
+            expect "the form of the answer to $1-$i-$n" "$(faults_of "$1-$i-$n" | tr '\n' ';')" ""
+        done
+        sleep 0.5
+    done
+    "$check_beside_store" "$1"
+    restore_store
+}
