--- /dev/null
+++ b/libraries/transport/http/url_library.cpp
@@ -0,0 +1,2 @@
+// Boost.URL without its compiled library, which nothing else here needs.
+#include <boost/url/src.hpp>
