platform, front: Keep what was read of a list that ends early

What callers saw: when the store answered no page of the list of endpoints but the first, instances that started did not become ready and served nothing, though the first page named sound endpoints. An incomplete list of the kind `config` had the same effect, as the other kinds waited for it. Cause: store_client::list threw at the first page that failed, and what it had read was dropped. Endpoints known before a list is read anew and ends early stayed in use before, too; the test keeps that. Why this works: the listing holds the pages before the failure, and the failure. Its objects are merged into those known, none of which is removed, at a position that any whole listing supersedes. The kind stays lost, is read again with the same pauses, and is not confirmed to others. The list of instances adds what it holds.

--- a/services/front/control_worker.hpp
+++ b/services/front/control_worker.hpp
@@ -74,6 +74,8 @@
         /// The newest position of another instance that has other objects; 0 after it was looked into.
         state::store_position hinted_;
         bool is_lost_{true};
+        /// Whether the store answers, but its list was not read to its end.
+        bool is_partly_read_{false};
         state::time_point lost_since_{};
         /// Until then this instance watches the kind itself, because its watchers do not serve it.
         state::time_point watched_until_{};
@@ -128,6 +130,8 @@
     auto record_confirmation(followed_kind& kind, state::time_point asked_at, state::store_position position)
         -> void;
     auto publish_confirmation(const followed_kind& kind) -> void;
+    /// Takes over what was read of a list that was not read to its end.
+    auto keep_partial_listing(followed_kind& kind, const platform::object_listing& listing) -> void;
     auto log_unreadable(const followed_kind& kind, const std::vector<protocol::json::unreadable_part>& parts)
         -> void;
     auto mark_regained(followed_kind& kind) -> void;
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -101,7 +101,8 @@
     while (true) {
         const auto may_begin = are_instances_known_ || clock_.now() - started_at > instances_timeout;
         // While the store is unreachable, only the configuration is retried, to save calls.
-        const auto waits_for_other = &kind != &configuration_ && configuration_.is_lost_;
+        const auto waits_for_other =
+            &kind != &configuration_ && configuration_.is_lost_ && !configuration_.is_partly_read_;
         if (!may_begin || !watches(kind) || waits_for_other) {
             co_await sleep(may_begin && !watches(kind) ? idle_interval : poll_interval);
             continue;
@@ -202,8 +203,13 @@
 {
     auto& mirror = kind.mirror_;
     const auto asked_at = clock_.boot_now();
+    kind.is_partly_read_ = false;
     const auto listing = co_await store_.list(mirror.kind(), platform::read_consistency::latest);
     log_unreadable(kind, listing.unreadable_);
+    if (listing.fault_) {
+        keep_partial_listing(kind, listing);
+        throw store_error{*listing.fault_};
+    }
     if (listing.position_.era_ < era_ || !mirror.replace(listing))
         throw store_error{store_fault::no_response, "the store's listing is older than the known position"};
     record_confirmation(kind, asked_at, listing.position_);
@@ -224,6 +230,16 @@
     }
 }
 
+auto control_worker::keep_partial_listing(followed_kind& kind, const platform::object_listing& listing)
+    -> void
+{
+    log_.warn("list not read to its end kind=" + kind.mirror_.kind() + " objects=" +
+              std::to_string(listing.objects_.size()) + " reason=\"" + listing.fault_->what() + "\"");
+    kind.is_partly_read_ = true;
+    if (listing.position_.era_ >= era_ && kind.mirror_.merge(listing))
+        apply_changes(kind);
+}
+
 auto control_worker::watch_until_restore(followed_kind& kind) -> http::awaitable<platform::object_changes>
 {
     auto watch = store_.watch(kind.mirror_.kind(), kind.mirror_.position(), watch_timeout);
--- a/services/front/control_worker_instances.cpp
+++ b/services/front/control_worker_instances.cpp
@@ -143,7 +143,11 @@
                 is_first = true;
                 registered_era = listing.position_.era_;
             }
-            if (clock_.now() < retained_until)
+            if (listing.fault_)
+                log_.warn("list of instances not read to its end objects=" +
+                          std::to_string(listing.objects_.size()) + " reason=\"" + listing.fault_->what() +
+                          "\"");
+            if (listing.fault_ || clock_.now() < retained_until)
                 watchers_.add(parse_instances(listing, log_));
             else
                 watchers_.update(parse_instances(listing, log_));
--- a/tests/platform/current_objects.cpp
+++ b/tests/platform/current_objects.cpp
@@ -74,6 +74,35 @@
     BOOST_TEST(mirror.fingerprint() == first);
 }
 
+/// Guards against a list that was not read to its end and takes with it what was known.
+BOOST_AUTO_TEST_CASE(a_partial_listing_replaces_only_what_it_holds)
+{
+    auto mirror = sample_mirror();
+    const auto listing = platform::object_listing{
+        .objects_ = {object("changed", 35), object("kept", 9), object("new", 34)}, .position_ = position(40)};
+    BOOST_TEST(mirror.merge(listing));
+    BOOST_TEST(mirror.objects().size() == 3U);
+    BOOST_TEST(mirror.objects().at("changed")["metadata"]["revision"].asUInt64() == 35U);
+    BOOST_TEST(mirror.objects().at("kept")["metadata"]["revision"].asUInt64() == 10U);
+    BOOST_TEST(!mirror.merge(listing));
+    // What it lacks may have changed, so a whole listing of the same revision is newer.
+    BOOST_TEST((mirror.position() == position(30)));
+    BOOST_TEST(mirror.replace({.objects_ = {object("kept", 10)}, .position_ = position(40)}));
+    BOOST_TEST(mirror.objects().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_partial_listing_of_another_era_counts_from_its_beginning)
+{
+    auto mirror = sample_mirror();
+    auto listing = platform::object_listing{.objects_ = {object("changed", 5)}, .position_ = position(12)};
+    listing.position_.era_ = state::store_era{2};
+    BOOST_TEST(mirror.merge(listing));
+    BOOST_TEST(mirror.objects().at("changed")["metadata"]["revision"].asUInt64() == 5U);
+    BOOST_TEST((mirror.position() == state::store_position{.era_ = state::store_era{2}}));
+    listing.position_.era_ = state::store_era{1};
+    BOOST_TEST(!mirror.merge(listing));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
