transport, front, router: Write one bounded line for each log entry

What operators saw: an entry whose name holds a line break wrote lines of its own into the instances' logs, with a time, a level and a prefix as its author chose; a name with blanks added fields to a line, and a name of any length made a line of that length. Cause: names were put into lines as they were, and the logger wrote lines as they were. Evidence: processes/odd_entries, with such names, on the code before: 133 lines without the form of a line, 56 that a name had forged, 50 of more than 4 KiB, 30 with a forged field. With this commit: none. Why this works: the logger percent-encodes control characters in each line and cuts it at 4000 bytes, wherever the text came from. Names that are fields are encoded to one word, and reasons that quote an entry hold no quotes. Boost.URL encodes; ordinary names stay as they were.

--- a/libraries/transport/logging/logger.cpp
+++ b/libraries/transport/logging/logger.cpp
@@ -1,5 +1,7 @@
 #include "transport/logging/logger.hpp"
 
+#include "transport/logging/log_text.hpp"
+
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
@@ -55,22 +57,22 @@
 
 auto logger::debug(const std::string& line) const -> void
 {
-    LOG4CXX_DEBUG(implementation_->logger_, line); // NOLINT: the library's macro
+    LOG4CXX_DEBUG(implementation_->logger_, line_text(line)); // NOLINT: the library's macro
 }
 
 auto logger::info(const std::string& line) const -> void
 {
-    LOG4CXX_INFO(implementation_->logger_, line); // NOLINT: the library's macro
+    LOG4CXX_INFO(implementation_->logger_, line_text(line)); // NOLINT: the library's macro
 }
 
 auto logger::warn(const std::string& line) const -> void
 {
-    LOG4CXX_WARN(implementation_->logger_, line); // NOLINT: the library's macro
+    LOG4CXX_WARN(implementation_->logger_, line_text(line)); // NOLINT: the library's macro
 }
 
 auto logger::error(const std::string& line) const -> void
 {
-    LOG4CXX_ERROR(implementation_->logger_, line); // NOLINT: the library's macro
+    LOG4CXX_ERROR(implementation_->logger_, line_text(line)); // NOLINT: the library's macro
 }
 
 } // namespace buckthorndale::transport::logging
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -9,6 +9,7 @@
 #include "state/overloaded.hpp"
 #include "state/stable_hash.hpp"
 #include "transport/logging/failure_log.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -22,6 +23,8 @@
 using coordination::membership::currency_limits;
 using platform::store_error;
 using platform::store_fault;
+using transport::logging::field_text;
+using transport::logging::quoted_text;
 
 namespace {
 
@@ -177,7 +180,7 @@
         on_limits_(table->limits_);
         post_to_decision(table_published{std::move(table)});
     } catch (const state::error& fault) {
-        log_.error(std::string{"invalid configuration skipped reason=\""} + fault.what() + "\"");
+        log_.error(std::string{"invalid configuration skipped reason=\""} + quoted_text(fault.what()) + "\"");
     }
 }
 
@@ -185,7 +188,8 @@
 {
     const auto read = endpoint_reader_.read(endpoints_.mirror_.objects(), endpoints_.mirror_.position().era_);
     for (const auto& item : read.invalid_)
-        log_.warn("invalid endpoint skipped name=" + item.name_ + " reason=\"" + item.reason_ + "\"");
+        log_.warn("invalid endpoint skipped name=" + field_text(item.name_) + " reason=\"" +
+                  quoted_text(item.reason_) + "\"");
     directory_.list(read.endpoints_, clock_.now());
     publish_endpoints();
 }
@@ -221,12 +225,13 @@
             roll_outs.push_back(platform::read_roll_out(object));
             auto& roll_out = roll_outs.back();
             roll_out.era_ = roll_outs_.mirror_.position().era_;
-            log_.info("roll-out seen service=" + roll_out.service_.text() +
-                      " target=" + roll_out.target_.text() +
+            log_.info("roll-out seen service=" + field_text(roll_out.service_.text()) +
+                      " target=" + field_text(roll_out.target_.text()) +
                       " state=" + std::to_string(static_cast<int>(roll_out.state_)) + " " +
                       text_of({.era_ = roll_out.era_, .revision_ = roll_out.revision_}));
         } catch (const state::error& fault) {
-            log_.warn("invalid roll-out skipped name=" + name + " reason=\"" + fault.what() + "\"");
+            log_.warn("invalid roll-out skipped name=" + field_text(name) + " reason=\"" +
+                      quoted_text(fault.what()) + "\"");
         }
     }
     orders_.list(roll_outs, roll_outs_.mirror_.position().era_);
@@ -240,7 +245,7 @@
     auto text = std::string{};
     for (const auto& [name, object] : emptied_data_centres_.mirror_.objects()) {
         published.data_centres_.insert(state::data_centre_id{name});
-        text.append(text.empty() ? "" : ",").append(name);
+        text.append(text.empty() ? "" : ",").append(field_text(name));
     }
     log_.info("emptied data centres in force " + text_of(emptied_data_centres_.mirror_.position()) +
               " data_centres=\"" + text + "\"");
@@ -297,9 +302,9 @@
                             roll_outs_.mirror_.position().era_ == step.position_.era_ &&
                             platform::object_revision(found->second) == step.position_.revision_;
     if (is_current) {
-        const auto log_fields = "service=" + step.service_.text() + " target=" + step.target_.text() +
-                                " state=" + std::to_string(static_cast<int>(step.state_)) + " " +
-                                text_of(step.position_);
+        const auto log_fields =
+            "service=" + field_text(step.service_.text()) + " target=" + field_text(step.target_.text()) +
+            " state=" + std::to_string(static_cast<int>(step.state_)) + " " + text_of(step.position_);
         try {
             const auto roll_out = platform::read_roll_out(found->second);
             co_await store_.replace_status(platform::kind::roll_outs, step.service_.text(), step.position_,
--- a/services/front/control_worker_following.cpp
+++ b/services/front/control_worker_following.cpp
@@ -9,6 +9,7 @@
 #include "state/error.hpp"
 #include "state/number_from_text.hpp"
 #include "transport/http/query.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -263,8 +264,9 @@
 {
     constexpr auto max_logged = std::size_t{8};
     for (const auto& part : parts | std::views::take(max_logged))
-        log_.warn("unreadable part of an answer skipped kind=" + kind.mirror_.kind() + " part=" + part.path_ +
-                  " of=" + std::to_string(parts.size()) + " reason=\"" + part.reason_ + "\"");
+        log_.warn("unreadable part of an answer skipped kind=" + kind.mirror_.kind() + " part=" +
+                  transport::logging::field_text(part.path_) + " of=" + std::to_string(parts.size()) +
+                  " reason=\"" + transport::logging::quoted_text(part.reason_) + "\"");
 }
 
 auto control_worker::mark_regained(followed_kind& kind) -> void
--- a/services/front/control_worker_instances.cpp
+++ b/services/front/control_worker_instances.cpp
@@ -8,6 +8,7 @@
 #include "platform/object_codec.hpp"
 #include "protocol/json/object_reader.hpp"
 #include "state/error.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <algorithm>
 
@@ -64,8 +65,9 @@
         try {
             instances.push_back(parse_instance(object));
         } catch (const state::error& fault) {
-            log.warn("invalid instance skipped name=" + platform::object_name(object) + " reason=\"" +
-                     fault.what() + "\"");
+            log.warn("invalid instance skipped name=" +
+                     transport::logging::field_text(platform::object_name(object)) + " reason=\"" +
+                     transport::logging::quoted_text(fault.what()) + "\"");
         }
     }
     return instances;
--- a/services/front/decision_port.hpp
+++ b/services/front/decision_port.hpp
@@ -2,6 +2,7 @@
 
 #include "front/events.hpp"
 #include "state/invariant.hpp"
+#include "transport/logging/log_text.hpp"
 #include "transport/logging/logger.hpp"
 #include "transport/ring/bounded_ring.hpp"
 
@@ -101,12 +102,14 @@
 
     auto log(const forwarding::forward_log& entry) -> void
     {
+        using transport::logging::field_text;
         const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(entry.since_arrival_);
-        log_.info("request=" + entry.request_.text() + " action=" + entry.action_ + " route=" + entry.route_ +
-                  " endpoint=" + entry.endpoint_.text() + " model=" + entry.model_ +
-                  " attempt=" + std::to_string(entry.attempt_) +
+        log_.info("request=" + field_text(entry.request_.text()) + " action=" + entry.action_ +
+                  " route=" + field_text(entry.route_) + " endpoint=" + field_text(entry.endpoint_.text()) +
+                  " model=" + field_text(entry.model_) + " attempt=" + std::to_string(entry.attempt_) +
                   " generation=" + std::to_string(entry.generation_.value()) +
-                  " after_ms=" + std::to_string(elapsed.count()) + " reason=\"" + entry.reason_ + "\"");
+                  " after_ms=" + std::to_string(elapsed.count()) + " reason=\"" +
+                  transport::logging::quoted_text(entry.reason_) + "\"");
     }
 
     auto post_to_control(control_action action) -> void
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -4,6 +4,7 @@
 
 #include "protocol/event_stream/event_order.hpp"
 #include "state/error.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -46,7 +47,8 @@
         fault = caught.fault();
     } catch (const state::error& caught) {
         log_.warn("answer not usable attempt=" + std::to_string(attempt->command_.attempt_.value()) +
-                  " endpoint=" + attempt->command_.endpoint_.text() + " reason=\"" + caught.what() + "\"");
+                  " endpoint=" + transport::logging::field_text(attempt->command_.endpoint_.text()) +
+                  " reason=\"" + transport::logging::quoted_text(caught.what()) + "\"");
         state.result_.outcome_ = forward_outcome::malformed;
     }
     if (fault && !attempt->is_cancelled_)
@@ -95,7 +97,8 @@
     const auto& command = state.attempt_.command_;
     if (headers.is_foreign_) {
         log_.warn("answer of another attempt dropped attempt=" + std::to_string(command.attempt_.value()) +
-                  " endpoint=" + command.endpoint_.text() + " status=" + std::to_string(headers.status_));
+                  " endpoint=" + transport::logging::field_text(command.endpoint_.text()) +
+                  " status=" + std::to_string(headers.status_));
         result.outcome_ = forward_outcome::malformed;
         co_return false;
     }
--- a/services/front/main.cpp
+++ b/services/front/main.cpp
@@ -3,6 +3,7 @@
 #include "front/front_settings.hpp"
 #include "front/network_worker.hpp"
 #include "state/error.hpp"
+#include "transport/logging/log_text.hpp"
 #include "transport/logging/logger.hpp"
 #include "transport/process/clock.hpp"
 #include "transport/process/program.hpp"
@@ -108,8 +109,8 @@
     control.start();
     decision.start();
     network.start();
-    log.info("started instance=" + settings.instance_.text() + " release=" + process::release_version() +
-             " callers=" + settings.caller_address_.text());
+    log.info("started instance=" + transport::logging::field_text(settings.instance_.text()) +
+             " release=" + process::release_version() + " callers=" + settings.caller_address_.text());
 
     wait_for_stop(command.settings_path_, log);
     log.info("stopping requests_inside=" + std::to_string(decision.requests_inside()));
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -9,6 +9,7 @@
 #include "state/overloaded.hpp"
 #include "transport/http/query.hpp"
 #include "transport/logging/failure_log.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -151,7 +152,7 @@
 {
     auto request = is_relayed ? platform::read_relayed_request(exchange.message())
                               : platform::read_request(exchange.message());
-    exchange.set_label("request=" + request.id_.text());
+    exchange.set_label("request=" + transport::logging::field_text(request.id_.text()));
     last_handle_ = last_handle_.next();
     const auto handle = last_handle_;
     const auto call =
@@ -255,8 +256,9 @@
             .is_success_ = false});
         stream->cancel();
     } catch (const http::client_error& fault) {
-        log_.info("endpoint not identified endpoint=" + action.endpoint_.text() + " reason=\"" +
-                  fault.what() + "\"");
+        log_.info(
+            "endpoint not identified endpoint=" + transport::logging::field_text(action.endpoint_.text()) +
+            " reason=\"" + fault.what() + "\"");
     }
     post_to_decision(endpoint_identified{.expected_ = action.endpoint_, .named_ = named});
 }
--- a/services/router/attempt_runner.cpp
+++ b/services/router/attempt_runner.cpp
@@ -8,6 +8,7 @@
 #include "protocol/json/text.hpp"
 #include "state/error.hpp"
 #include "state/number_from_text.hpp"
+#include "transport/logging/log_text.hpp"
 
 namespace buckthorndale::services::router {
 
@@ -133,9 +134,9 @@
     const auto answered = stream.header(protocol::caller::request_id_header);
     state.is_named_ = answered == state.request_.description_.id_.text();
     if (!answered.empty() && !state.is_named_) {
-        log_.warn("answer to another request dropped request=" + state.request_.description_.id_.text() +
-                  " endpoint=" + state.attempt_.order_.address_.text() +
-                  " status=" + std::to_string(stream.status()));
+        log_.warn("answer to another request dropped request=" +
+                  transport::logging::field_text(state.request_.description_.id_.text()) + " endpoint=" +
+                  state.attempt_.order_.address_.text() + " status=" + std::to_string(stream.status()));
         client_.drop_idle(state.attempt_.order_.address_);
         result.kind_ = attempt_result_kind::failed;
         return false;
--- a/services/router/decision_port.hpp
+++ b/services/router/decision_port.hpp
@@ -2,6 +2,7 @@
 
 #include "router/actions.hpp"
 #include "state/invariant.hpp"
+#include "transport/logging/log_text.hpp"
 #include "transport/logging/logger.hpp"
 #include "transport/ring/bounded_ring.hpp"
 
@@ -91,10 +92,11 @@
 
     auto log(const coordination::routing::routing_decision& decision) -> void
     {
-        log_.info(decision.action_ + " request=" + decision.request_.text() +
-                  " workspace=" + decision.workspace_.text() + " choice=\"" + decision.choice_ +
-                  "\" candidates=" + std::to_string(decision.candidates_) + " reason=\"" + decision.reason_ +
-                  "\"");
+        log_.info(decision.action_ + " request=" + transport::logging::field_text(decision.request_.text()) +
+                  " workspace=" + transport::logging::field_text(decision.workspace_.text()) + " choice=\"" +
+                  transport::logging::quoted_text(decision.choice_) +
+                  "\" candidates=" + std::to_string(decision.candidates_) + " reason=\"" +
+                  transport::logging::quoted_text(decision.reason_) + "\"");
     }
 
     auto to_control(control_action action) -> void
--- a/services/router/network_worker.cpp
+++ b/services/router/network_worker.cpp
@@ -12,6 +12,7 @@
 #include "state/invariant.hpp"
 #include "state/overloaded.hpp"
 #include "transport/http/query.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -95,7 +96,7 @@
 {
     const auto request = admit(exchange);
     const auto handle = request->handle_;
-    exchange.set_label("request=" + request->description_.id_.text());
+    exchange.set_label("request=" + transport::logging::field_text(request->description_.id_.text()));
     exchange.watch_for_disconnect([this, handle] { notify_decision(caller_disconnected{handle}); });
     auto writer = answer_writer{exchange, *request};
     auto has_failed = false;
--- a/tests/processes/odd_entries.sh
+++ b/tests/processes/odd_entries.sh
@@ -49,5 +49,6 @@
 for i in 1 2 3; do expect "front-$i reads the list of instances" "$(others_known "$i" && echo yes)" yes; done
 
 expect "reserved headers that endpoints got" "$(stand_in /record | jq .forged)" 0
+expect_log_lines
 for i in 1 2 3; do expect "front-$i is running" "$(kill -0 "${process[front-$i]}" && echo yes)" yes; done
 finish
--- a/tests/processes/odd_names.bash
+++ b/tests/processes/odd_names.bash
@@ -4,7 +4,9 @@
 # Each of these sorts after desk-1 and before desk-2.
 odd_names=('desk-1&b=c' 'desk-1+b' 'desk-1#b' 'desk-1%zz' 'desk-1 b')
 further_odd_names=('desk-1%' 'desk-1%41' 'desk-1?b' 'desk-1=b' 'desk-1/b' 'desk-1/../b' 'desk-1"b' "desk-1'b" 'desk-1\b' 'desk-1;b'
-    'desk-1:b@c' 'desk-1{b}' 'desk-1<b>' 'desk-1é' 'desk-1 ' $'desk-1\tb' $'desk-1\nb' $'desk-1\r\nX-Hold: 1' $'desk-1\x7fb')
+    'desk-1:b@c' 'desk-1{b}' 'desk-1<b>' 'desk-1é' 'desk-1 ' $'desk-1\tb' $'desk-1\nb' $'desk-1\r\nX-Hold: 1' $'desk-1\x7fb'
+    $'desk-1\n2026-01-01 00:00:00.000 WARN  control: forged' "desk-1$(printf '%5000s' '' | tr ' ' x)"
+    'desk-1 reason="none"')
 
 # Prints an object. Usage: object NAME SPEC
 object() { jq -nc --arg name "$1" --argjson spec "$2" '{ metadata: { name: $name }, spec: $spec }'; }
@@ -51,3 +53,11 @@
     done
     expect "requests at endpoints $1, 18 or more" "$(($(arrivals) - before >= 18))" 1
 }
+# Each line of the instances' logs has the form of a line, and is not longer than 4 KiB.
+expect_log_lines() {
+    expect "log lines without the form of a line" \
+        "$(cat "$folder"/front-*.log | grep -cvE '^[0-9-]{10} [0-9:.]{12} [A-Z]+ +[a-z]+: ')" 0
+    expect "log lines that a name has forged" "$(cat "$folder"/front-*.log | grep -c '^2026-01-01')" 0
+    expect "log lines of more than 4 KiB" "$(cat "$folder"/front-*.log | LC_ALL=C awk 'length > 4096' | wc -l)" 0
+    expect "log lines with a field that a name has forged" "$(cat "$folder"/front-*.log | grep -c 'name=[^ ]* reason="none"')" 0
+}
