platform, front: Use no name in a header that cannot stand in one

What callers and endpoints saw: an entry of an endpoint, or a workspace of the configuration, whose name holds a line break added headers of its choice to the requests of others, those reserved for this program included. A name with a blank at its end arrived as another endpoint or workspace. Lookups beside such an endpoint failed with 502. Cause: endpoint_request puts the endpoint, the workspace and the model into headers as they are, and Beast writes what it is given. Why this works: a header has no encoding that its receivers would undo, so what it cannot hold is not used, and the log says so: the endpoint is skipped, keys of the workspace are unknown (401), the model is left out. The others of the list and of the configuration hold. A route that would lose all its models makes the configuration invalid, since it would pass on any model that a caller names.

--- a/libraries/state/routing_table.hpp
+++ b/libraries/state/routing_table.hpp
@@ -43,6 +43,8 @@
     std::map<service_name, std::string> health_paths_;
     /// The services whose endpoints bear less while they are cold.
     std::map<service_name, cold_start> cold_starts_;
+    /// The names of workspaces and models that are left out since no header can hold them.
+    std::vector<std::string> unusable_names_;
     /// Whether requests require a key.
     bool needs_keys_{false};
 
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -177,6 +177,9 @@
         generation_ = table->generation_;
         log_.info("configuration in force generation=" + std::to_string(generation_.value()) + " routes=" +
                   std::to_string(table->routes_.size()) + " keys=" + std::to_string(table->keys_.size()));
+        for (const auto& name : table->unusable_names_)
+            log_.error("workspace or model skipped name=" + field_text(name) +
+                       " reason=\"no header can hold its name\"");
         on_limits_(table->limits_);
         post_to_decision(table_published{std::move(table)});
     } catch (const state::error& fault) {
--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -136,6 +136,39 @@
     BOOST_TEST(endpoint.registered_at_ == 4U);
 }
 
+/// Guards against a name that endpoints would take for another one, or for further headers.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_no_header_can_name_is_none)
+{
+    auto object = value(endpoint_text);
+    for (const auto* name : {"a b&c=d+e#f%41/g", "\"e1\"", "caf\xc3\xa9"}) {
+        object["metadata"]["name"] = name;
+        BOOST_TEST(platform::read_endpoint(object).id_.text() == name);
+    }
+    for (const auto* name : {"e1\r\nX-Hold: 1", "e1\n", " e1", "e1 ", "e1\x01"}) {
+        object["metadata"]["name"] = name;
+        BOOST_CHECK_THROW(platform::read_endpoint(object), state::error);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(workspaces_and_models_that_no_header_can_name_spoil_no_configuration)
+{
+    auto object = value(configuration_text);
+    auto workspace = Json::Value{Json::objectValue};
+    workspace["name"] = "t\r\nX-Hold: 1";
+    workspace["apiKeys"].append("k3");
+    object["spec"]["tenants"].append(workspace);
+    object["spec"]["routes"][0]["sizes"].append(" l");
+    const auto table = platform::read_routing_table(object);
+    BOOST_TEST(table.keys_.contains("k1"));
+    BOOST_TEST(!table.keys_.contains("k3"));
+    BOOST_TEST(table.routes_.front().models_.size() == 2U);
+    BOOST_TEST(table.unusable_names_.size() == 2U);
+    // A route without models would pass on any that a caller names.
+    object["spec"]["routes"][0]["sizes"] = Json::Value{Json::arrayValue};
+    object["spec"]["routes"][0]["sizes"].append(" l");
+    BOOST_CHECK_THROW(platform::read_routing_table(object), state::error);
+}
+
 BOOST_AUTO_TEST_CASE(reads_what_cold_endpoints_bear)
 {
     auto object = value(configuration_text);
