--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -307,6 +307,16 @@
     BOOST_TEST(sent.body() == "question");
 }
 
+/// Guards against a path of a health check that ends its request's first line.
+BOOST_AUTO_TEST_CASE(a_probe_has_a_target_whatever_path_is_configured)
+{
+    const auto target_of = [](const std::string& path) {
+        return std::string{platform::probe_request(path).target()};
+    };
+    BOOST_TEST(target_of("/live?deep=1&x=%20") == "/live?deep=1&x=%20");
+    BOOST_TEST(target_of("/live check\r\nX-Hold: 1") == "/live%20check%0D%0AX-Hold:%201");
+}
+
 BOOST_AUTO_TEST_CASE(the_shutdown_that_an_endpoint_announces_is_read_from_every_answer)
 {
     const auto nothing = coordination::forwarding::endpoint_notice{.limit_ = 0.0, .max_declines_ = 0.0};
