tests: Show that any name survives a datagram between instances

Names of services, versions, routes, endpoints and instances with quotes, control characters, zero bytes or bytes that are no UTF-8 arrive unchanged: JsonCpp writes and reads them. This held before; no product code changes. Callers saw nothing.

--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -110,6 +110,33 @@
     BOOST_TEST((received.work_ == sent.work_));
 }
 
+/// Guards against a name that spoils a message, or arrives as another one.
+BOOST_AUTO_TEST_CASE(any_name_survives_a_round_trip)
+{
+    for (const auto& name :
+         {std::string{"a b&c=d+e#f%41/g"}, std::string{"\"a\\b\""}, std::string{"a\r\nb\tc\x01\x7f"},
+          std::string{"a\0b", 3}, std::string{"caf\xc3\xa9 \xe2\x80\xa8"}, std::string{"\xff\xfe a"}}) {
+        auto sent = sample_message();
+        sent.from_ = state::instance_id{name};
+        sent.roll_outs_.counts_.front().key_.service_ = state::service_name{name};
+        sent.roll_outs_.counts_.front().key_.version_ = state::version_name{name};
+        sent.roll_outs_.counts_.front().key_.route_ = name;
+        sent.leaving_.front().endpoint_ = state::endpoint_id{name};
+        sent.work_->front().endpoint_ = state::endpoint_id{name};
+        sent.limits_.limits_.front().endpoint_ = state::endpoint_id{name};
+        sent.confirmations_.front().kind_ = name;
+        const auto text = to_text(sent);
+        BOOST_TEST(text.find('\n') == std::string::npos);
+        const auto received = peer_message_from_text(text);
+        BOOST_TEST((received.from_ == sent.from_));
+        BOOST_TEST((received.roll_outs_.counts_.front().key_ == sent.roll_outs_.counts_.front().key_));
+        BOOST_TEST((received.leaving_ == sent.leaving_));
+        BOOST_TEST((received.work_ == sent.work_));
+        BOOST_TEST((received.limits_.limits_.front().endpoint_.text() == name));
+        BOOST_TEST((received.confirmations_.front().kind_ == name));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_report_of_an_older_build_has_an_unknown_era)
 {
     const auto received = peer_message_from_text(R"({ "from": "front-1", "life": "1", "scope": 0,
