transport, agent, control: Encode names in the targets of the agents and of the operators' program

What callers and operators saw: with a data centre whose name holds &, #, +, % or a blank, agents got no endpoints, and no model request was answered. Operators could not show, withdraw or remove what has such a name, and a ledger of several pages could not be read when the segment of an instance with such a name ended one. Cause: the client of the platform's object API and the operators' program wrote names into targets as they were; the administration API decoded a path before it split it, so that a slash of a name ended the name. The stand-in answers 400 to what is no target now. The API splits a path first and decodes its segments.

--- a/libraries/transport/platform/object_store.cpp
+++ b/libraries/transport/platform/object_store.cpp
@@ -6,6 +6,7 @@
 #include "protocol/json/object_reader.hpp"
 #include "protocol/json/text.hpp"
 #include "state/error.hpp"
+#include "transport/http/percent_encoding.hpp"
 
 namespace buckthorndale::transport::platform {
 
@@ -31,6 +32,11 @@
     return object;
 }
 
+auto target_of(const std::string& name) -> std::string
+{
+    return "/objects/" + http::encode_path(name);
+}
+
 auto to_milliseconds_text(state::duration time) -> std::string
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
@@ -52,7 +58,7 @@
 auto object_store::put(std::string name, std::string_view condition, std::string tag, std::string value)
     -> http::awaitable<put_result>
 {
-    auto message = http::request{http::beast::http::verb::put, "/objects/" + name, 11};
+    auto message = http::request{http::beast::http::verb::put, target_of(name), 11};
     message.set(http::beast::string_view{condition.data(), condition.size()}, tag);
     message.body() = std::move(value);
     const auto timeouts = http::client::timeouts{
@@ -84,7 +90,7 @@
 
 auto object_store::read(std::string name) -> http::awaitable<read_result>
 {
-    const auto answer = co_await get("/objects/" + name, request_timeout_);
+    const auto answer = co_await get(target_of(name), request_timeout_);
     if (!answer)
         co_return read_result{};
     if (answer->result() == beast_status::not_found)
@@ -100,9 +106,9 @@
 auto object_store::list(std::string prefix, std::string after, std::size_t max_count)
     -> http::awaitable<list_result>
 {
-    const auto answer =
-        co_await get("/objects?prefix=" + prefix + "&after=" + after + "&most=" + std::to_string(max_count),
-                     request_timeout_);
+    const auto answer = co_await get("/objects?prefix=" + http::encode_component(prefix) + "&after=" +
+                                         http::encode_component(after) + "&most=" + std::to_string(max_count),
+                                     request_timeout_);
     if (!answer || answer->result() != beast_status::ok)
         co_return list_result{};
     try {
@@ -119,8 +125,8 @@
 auto object_store::watch(std::string prefix, std::uint64_t version, state::duration timeout)
     -> http::awaitable<watch_result>
 {
-    const auto target = "/watch?prefix=" + prefix + "&version=" + std::to_string(version) +
-                        "&wait_ms=" + to_milliseconds_text(timeout);
+    const auto target = "/watch?prefix=" + http::encode_component(prefix) +
+                        "&version=" + std::to_string(version) + "&wait_ms=" + to_milliseconds_text(timeout);
     const auto answer = co_await get(target, timeout + watch_timeout_margin);
     if (!answer || answer->result() != beast_status::ok)
         co_return watch_result{};
@@ -138,9 +144,9 @@
 auto object_store::instances(state::data_centre_id data_centre, std::uint64_t version)
     -> http::awaitable<instances_result>
 {
-    const auto answer =
-        co_await get("/instances?data_centre=" + data_centre.text() + "&version=" + std::to_string(version),
-                     request_timeout_);
+    const auto answer = co_await get("/instances?data_centre=" + http::encode_component(data_centre.text()) +
+                                         "&version=" + std::to_string(version),
+                                     request_timeout_);
     if (!answer)
         co_return instances_result{};
     if (answer->result() == beast_status::not_modified)
--- a/services/agent/administration_service.cpp
+++ b/services/agent/administration_service.cpp
@@ -25,13 +25,14 @@
 
 constexpr auto api_prefix = std::string_view{"/v1/"};
 
+/// The decoded segments of a path after its prefix.
 auto split_path(std::string_view path) -> std::vector<std::string>
 {
     auto parts = std::vector<std::string>{};
     path.remove_prefix(std::min(path.size(), api_prefix.size()));
     while (!path.empty()) {
         const auto slash = path.find('/');
-        parts.emplace_back(path.substr(0, slash));
+        parts.push_back(http::decode_percent(path.substr(0, slash)));
         path = slash == std::string_view::npos ? std::string_view{} : path.substr(slash + 1);
     }
     return parts;
--- a/services/agent/administration_worker.cpp
+++ b/services/agent/administration_worker.cpp
@@ -55,7 +55,7 @@
     const auto target = http::split_target(message.target());
     auto call = administration_call{.number_ = ++last_number_,
                                     .method_ = std::string{message.method_string()},
-                                    .path_ = http::decode_percent(target.path_),
+                                    .path_ = target.path_,
                                     .query_ = target.query_,
                                     .body_ = message.body(),
                                     .operator_ = authenticate(message),
--- a/utilities/control/command.cpp
+++ b/utilities/control/command.cpp
@@ -1,6 +1,7 @@
 #include "control/command.hpp"
 
 #include "state/error.hpp"
+#include "transport/http/percent_encoding.hpp"
 
 #include <algorithm>
 #include <array>
@@ -36,6 +37,12 @@
     return wanted.words_[index];
 }
 
+/// The word as a part of a target.
+auto encoded_word_at(const command& wanted, std::size_t index, const std::string& meaning) -> std::string
+{
+    return transport::http::encode_component(word_at(wanted, index, meaning));
+}
+
 auto kind_at(const command& wanted, std::size_t index) -> const std::string&
 {
     const auto& kind = word_at(wanted, index, "a kind");
@@ -58,9 +65,9 @@
 
 auto roll_out_call(const command& wanted, const std::string& action) -> api_call
 {
-    auto target = "/v1/roll-outs/" + word_at(wanted, 1, "a model") + "/" + action;
+    auto target = "/v1/roll-outs/" + encoded_word_at(wanted, 1, "a model") + "/" + action;
     if (action == "advance")
-        target += "?share=" + word_at(wanted, 2, "a share from 0 to 1000");
+        target += "?share=" + encoded_word_at(wanted, 2, "a share from 0 to 1000");
     return {.method_ = "POST", .target_ = target};
 }
 
@@ -68,7 +75,7 @@
 {
     auto target = "/v1/" + report;
     if (report == "ledger" && wanted.words_.size() > 1)
-        target += "?workspace=" + wanted.words_[1];
+        target += "?workspace=" + transport::http::encode_component(wanted.words_[1]);
     return {.method_ = "GET", .target_ = target};
 }
 
@@ -83,17 +90,17 @@
         return {.method_ = "GET", .target_ = "/v1/" + kind_at(wanted, 1)};
     if (action == "show")
         return {.method_ = "GET",
-                .target_ = "/v1/" + kind_at(wanted, 1) + "/" + word_at(wanted, 2, "a name")};
+                .target_ = "/v1/" + kind_at(wanted, 1) + "/" + encoded_word_at(wanted, 2, "a name")};
     if (action == "put")
         return {.method_ = "PUT",
                 .target_ = "/v1/" + kind_at(wanted, 1),
                 .body_ = read_file(word_at(wanted, 2, "a file"))};
     if (action == "delete")
         return {.method_ = "DELETE",
-                .target_ = "/v1/" + kind_at(wanted, 1) + "/" + word_at(wanted, 2, "a name")};
+                .target_ = "/v1/" + kind_at(wanted, 1) + "/" + encoded_word_at(wanted, 2, "a name")};
     if (is_one_of(version_actions, action))
         return {.method_ = "POST",
-                .target_ = "/v1/versions/" + word_at(wanted, 1, "a version") + "/" + action};
+                .target_ = "/v1/versions/" + encoded_word_at(wanted, 1, "a version") + "/" + action};
     if (is_one_of(roll_out_actions, action))
         return roll_out_call(wanted, action);
     throw error{error_kind::invalid_request, "'" + action + "' is not an action.", "Write:\n" + usage()};
--- a/utilities/platform_stand_in/platform_service.cpp
+++ b/utilities/platform_stand_in/platform_service.cpp
@@ -10,6 +10,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/url_view.hpp>
 
 #include <algorithm>
 
@@ -66,10 +68,14 @@
 {
     using verb = http::beast::http::verb;
     constexpr auto object_path = std::string_view{"/objects/"};
+    if (!boost::urls::parse_origin_form(exchange.message().target())) {
+        co_await exchange.send(text_response(400, "{}"));
+        co_return;
+    }
     const auto target = http::split_target(exchange.message().target());
     const auto method = exchange.message().method();
     if (target.path_.starts_with(object_path)) {
-        const auto name = target.path_.substr(object_path.size());
+        const auto name = http::decode_percent(target.path_.substr(object_path.size()));
         if (method == verb::put)
             co_await put_object(exchange, name);
         else
