transport, agent: Skip unreadable entries of the instance list alone

What callers saw: beside one entry of the platform's instance list that cannot be read, agents that started had no list at all; they knew no endpoint, and no model request was answered. Cause: the list was parsed and read whole, and any fault in it gave the list up. Evidence: processes/odd_entries_of_agents on the code before: no answer at any of three routers after a start, no engine listed. With this commit: none. Running agents kept their list before, too. Why this works: the text of the list is parsed part by part, like the lists of the users' platform, and each entry is read by itself. Those that cannot be read are logged, eight at most for each list.

--- a/libraries/protocol/codec/instance_list_codec.cpp
+++ b/libraries/protocol/codec/instance_list_codec.cpp
@@ -1,6 +1,9 @@
 #include "protocol/codec/instance_list_codec.hpp"
 
 #include "protocol/codec/enumerations.hpp"
+#include "state/error.hpp"
+
+#include <string>
 
 namespace buckthorndale::protocol::codec {
 
@@ -9,6 +12,25 @@
 constexpr auto max_slots = std::int64_t{100'000};
 constexpr auto default_slots = std::int64_t{8};
 
+/// Calls `read` with each entry of an array, and records those that it throws for.
+template <typename Read>
+auto read_readable(json::object_reader& reader, const std::string& field,
+                   std::vector<json::unreadable_part>& unreadable, const Read& read) -> void
+{
+    const auto& entries = reader.raw(field);
+    if (!entries.isNull() && !entries.isArray())
+        throw state::error{state::error_kind::platform_unavailable, "'" + field + "' is not an array.",
+                           "Write it as [ ... ]."};
+    for (auto index = Json::ArrayIndex{0}; index < entries.size(); ++index) {
+        const auto path = field + "[" + std::to_string(index) + "]";
+        try {
+            read(json::object_reader{entries[index], path, state::error_kind::platform_unavailable});
+        } catch (const state::error& fault) {
+            unreadable.push_back({.path_ = path, .reason_ = fault.what()});
+        }
+    }
+}
+
 } // namespace
 
 auto to_json(const state::endpoint& endpoint) -> Json::Value
@@ -79,6 +101,19 @@
     return value;
 }
 
+auto read_instance_list(json::object_reader reader, std::vector<json::unreadable_part>& unreadable)
+    -> state::instance_list
+{
+    auto list = state::instance_list{};
+    list.version_ = reader.number("version");
+    read_readable(reader, "members", unreadable,
+                  [&](json::object_reader child) { list.members_.push_back(read_member(child)); });
+    read_readable(reader, "endpoints", unreadable,
+                  [&](json::object_reader child) { list.endpoints_.push_back(read_endpoint(child)); });
+    reader.finish();
+    return list;
+}
+
 auto read_instance_list(json::object_reader reader) -> state::instance_list
 {
     auto list = state::instance_list{};
--- a/libraries/transport/platform/object_store.cpp
+++ b/libraries/transport/platform/object_store.cpp
@@ -18,6 +18,9 @@
 /// The client's timeout exceeds the requested wait by this margin, so that the platform's wait ends first.
 constexpr auto watch_timeout_margin = state::duration{std::chrono::seconds{2}};
 
+/// The levels of an instance list down to its entries: the list, its members or endpoints.
+constexpr auto instance_list_levels = 2;
+
 auto make_reader(const Json::Value& value) -> protocol::json::object_reader
 {
     return {value, "", state::error_kind::platform_unavailable};
@@ -154,9 +157,11 @@
     if (answer->result() != beast_status::ok)
         co_return instances_result{};
     try {
-        const auto value = protocol::json::parse(answer->body(), state::error_kind::platform_unavailable);
-        co_return instances_result{.is_available_ = true,
-                                   .list_ = protocol::codec::read_instance_list(make_reader(value))};
+        auto parsed = protocol::json::parse_readable_parts(answer->body(), instance_list_levels,
+                                                           state::error_kind::platform_unavailable);
+        auto result = instances_result{.is_available_ = true, .unreadable_ = std::move(parsed.unreadable_)};
+        result.list_ = protocol::codec::read_instance_list(make_reader(parsed.value_), result.unreadable_);
+        co_return result;
     } catch (const state::error&) {
         co_return instances_result{};
     }
--- a/libraries/transport/platform/object_store.hpp
+++ b/libraries/transport/platform/object_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "protocol/json/unreadable_part.hpp"
 #include "state/instance_list.hpp"
 #include "state/network_address.hpp"
 #include "state/units.hpp"
@@ -49,6 +50,8 @@
 struct instances_result {
     bool is_available_{false};
     std::optional<state::instance_list> list_;
+    /// The entries that could not be read and are left out, for the log.
+    std::vector<protocol::json::unreadable_part> unreadable_;
 };
 
 /// Accesses the platform's object store. Outages are reported in the results, not thrown.
--- a/services/agent/configuration_synchroniser.cpp
+++ b/services/agent/configuration_synchroniser.cpp
@@ -9,11 +9,14 @@
 #include "protocol/rpc/message_codec.hpp"
 #include "protocol/rpc/method_names.hpp"
 #include "state/error.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <ranges>
+
 namespace buckthorndale::services::agent {
 
 namespace http = transport::http;
@@ -170,6 +173,7 @@
         if (is_due) {
             auto result = co_await shared_.platform_.instances(shared_.settings_.data_centre_,
                                                                shared_.instance_list_.version_);
+            log_unreadable(result.unreadable_);
             if (result.list_)
                 apply_instance_list(std::move(*result.list_));
         }
@@ -177,6 +181,15 @@
     }
 }
 
+auto configuration_synchroniser::log_unreadable(
+    const std::vector<protocol::json::unreadable_part>& entries) const -> void
+{
+    constexpr auto max_logged = std::size_t{8};
+    for (const auto& entry : entries | std::views::take(max_logged))
+        log_.warn("Entry " + transport::logging::field_text(entry.path_) + " of the instance list, one of " +
+                  std::to_string(entries.size()) + " that cannot be read, is skipped. " + entry.reason_);
+}
+
 auto configuration_synchroniser::apply_instance_list(state::instance_list list) -> void
 {
     if (list.version_ <= shared_.instance_list_.version_)
--- a/services/agent/configuration_synchroniser.hpp
+++ b/services/agent/configuration_synchroniser.hpp
@@ -50,6 +50,7 @@
     auto wake_routers() -> void;
     auto read_snapshot() -> transport::http::awaitable<bool>;
     auto apply_change_text(const std::string& text) -> void;
+    auto log_unreadable(const std::vector<protocol::json::unreadable_part>& entries) const -> void;
     auto apply_instance_list(state::instance_list list) -> void;
     auto write_snapshot_if_due() -> transport::http::awaitable<void>;
     auto republish_from(state::generation first) -> transport::http::awaitable<void>;
--- a/utilities/platform_stand_in/platform_service.cpp
+++ b/utilities/platform_stand_in/platform_service.cpp
@@ -106,6 +106,12 @@
         switch_faults(exchange.message().body());
     else if (path == "/instances")
         change_instance(exchange.message().body());
+    else if (path == "/unchecked-endpoint")
+        unchecked_endpoints_.push_back(
+            json::parse(exchange.message().body(), state::error_kind::invalid_request));
+    else if (path == "/unchecked-member")
+        unchecked_members_.push_back(
+            json::parse(exchange.message().body(), state::error_kind::invalid_request));
     else if (path == "/backup")
         backup_ = table_;
     else if (path == "/restore" && backup_)
@@ -200,7 +206,12 @@
         co_await exchange.send(text_response(304, ""));
         co_return;
     }
-    co_await exchange.send(text_response(200, json::to_text(protocol::codec::to_json(list))));
+    auto value = protocol::codec::to_json(list);
+    for (const auto& entry : unchecked_endpoints_)
+        value["endpoints"].append(entry);
+    for (const auto& entry : unchecked_members_)
+        value["members"].append(entry);
+    co_await exchange.send(text_response(200, json::to_text(value)));
 }
 
 auto platform_service::switch_faults(const std::string& body) -> void
--- a/utilities/platform_stand_in/platform_service.hpp
+++ b/utilities/platform_stand_in/platform_service.hpp
@@ -5,9 +5,12 @@
 #include "transport/http/exchange.hpp"
 #include "transport/http/types.hpp"
 
+#include <json/value.h>
+
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace buckthorndale::utilities::platform_stand_in {
 
@@ -63,6 +66,9 @@
     instance_directory directory_;
     fault_switches faults_;
     call_counts counts_;
+    /// Entries that the list holds besides, whether or not they can be read.
+    std::vector<Json::Value> unchecked_endpoints_;
+    std::vector<Json::Value> unchecked_members_;
 };
 
 } // namespace buckthorndale::utilities::platform_stand_in
