router: Escape the version in the label of its metric

What operators saw: a version whose name holds a quote or a backslash made the metrics page invalid from that line on. Cause: the name was written between the quotes of the label as it was. Evidence: processes/odd_names_of_agents on the code before finds no line for the version 1"b\c; with this commit it does. Why this works: std::quoted escapes quotes and backslashes, and a line break becomes \n, as the text format asks. All other labels, those of the front included, are names of the program's own.

--- a/services/router/metrics.cpp
+++ b/services/router/metrics.cpp
@@ -3,6 +3,9 @@
 #include "protocol/caller/problem.hpp"
 #include "state/error.hpp"
 
+#include <boost/algorithm/string/replace.hpp>
+
+#include <iomanip>
 #include <sstream>
 #include <vector>
 
@@ -42,6 +45,14 @@
     text.append(name).append(" ").append(std::to_string(value)).append("\n");
 }
 
+/// Any text as the value of a label, with its quotes, as the text format escapes it.
+auto label_value(const std::string& text) -> std::string
+{
+    auto value = std::ostringstream{};
+    value << std::quoted(text);
+    return boost::algorithm::replace_all_copy(value.str(), "\n", "\\n");
+}
+
 auto number_to_text(double number) -> std::string
 {
     auto text = std::ostringstream{};
@@ -99,7 +110,7 @@
     write_header(text, "buckthorndale_answers_total", "Whole answers by the version that gave them.",
                  "counter");
     for (const auto& [version, count] : answers_)
-        write_value(text, "buckthorndale_answers_total{version=\"" + version.text() + "\"}", count);
+        write_value(text, "buckthorndale_answers_total{version=" + label_value(version.text()) + "}", count);
     write_header(text, "buckthorndale_refusals_total",
                  "Refusals by kind and by whether the request may have run.", "counter");
     for (const auto& [labels, count] : refusals_)
--- a/tests/processes/odd_names_of_agents.sh
+++ b/tests/processes/odd_names_of_agents.sh
@@ -29,6 +29,11 @@
 has_odd_bill() { [ "$(control --json ledger "quay$odd" | grep -c '"request" : "odd-1"')" = 1 ]; }
 wait_for 10 "the bill of an odd workspace is in the ledger" has_odd_bill
 
+# The label of a metric says which version answered.
+label=$(jq -rn '"odd@" + env.version | gsub("\\\\"; "\\\\") | gsub("\""; "\\\"")')
+metrics() { for i in 10 20 30; do curl -s "http://127.0.0.1:$(port "$i")/metrics"; done; }
+expect "metrics of the odd version" "$(($(metrics | grep -cF "buckthorndale_answers_total{version=\"$label\"} ") > 0))" 1
+
 # Operators can name what they see.
 expect "a workspace that is shown" "$(control --json show workspaces "quay$odd" | jq -r .item.id)" "quay$odd"
 expect "a version that is shown" "$(control --json show versions "odd@$version" | jq -r .item.version)" "$version"
