configuration, control: Reject new names that no header can hold

What callers saw: a version whose name ends with a line break, written by an operator, added lines to the heads of answers and of requests to engines. A model with '@' in its name was accepted and could then be named nowhere, since 'model@version' ends it there. Cause: names of versions, profiles and workspaces were checked for being empty alone, and stand in headers. Why this works: check_change refuses a new name that would not arrive unchanged as the value of a header, with a remedy. What an earlier build accepted can still be changed, withdrawn and removed. The operators' program rejects a key or a change's name of that kind before it sends it.

--- a/libraries/coordination/configuration/apply_change.cpp
+++ b/libraries/coordination/configuration/apply_change.cpp
@@ -1,6 +1,7 @@
 #include "coordination/configuration/apply_change.hpp"
 
 #include "state/error.hpp"
+#include "state/field_value.hpp"
 #include "state/invariant.hpp"
 #include "state/overloaded.hpp"
 #include "state/stable_hash.hpp"
@@ -29,6 +30,15 @@
         throw error{error_kind::invalid_request, field + " is empty.", "Set a value for it."};
 }
 
+/// Names stand in headers, as that of a version does in each answer.
+auto check_name(const std::string& name, const std::string& field) -> void
+{
+    check_not_empty(name.empty(), field);
+    if (!state::is_field_value(name))
+        throw error{error_kind::invalid_request, field + " cannot be the value of a header.",
+                    "Use no control characters, no blanks at the ends, and at most 1024 bytes."};
+}
+
 auto check_version_exists(const state::configuration& before, const state::version_key& key) -> void
 {
     if (before.find_version(key) == nullptr)
@@ -36,10 +46,21 @@
                     "Create the version first."};
 }
 
-auto check_version(const state::version_settings& version) -> void
+auto check_new_version_key(const state::version_key& key) -> void
+{
+    check_name(key.model_.text(), "model");
+    check_name(key.version_.text(), "version");
+    if (key.model_.text().find('@') != std::string::npos)
+        throw error{error_kind::invalid_request,
+                    "The model's name contains '@', which ends it in 'model@version'.",
+                    "Use a name without '@'."};
+}
+
+auto check_version(const state::configuration& before, const state::version_settings& version) -> void
 {
-    check_not_empty(version.key_.model_.is_empty(), "model");
-    check_not_empty(version.key_.version_.is_empty(), "version");
+    // Those that exist can still be withdrawn.
+    if (before.find_version(version.key_) == nullptr)
+        check_new_version_key(version.key_);
     check_permille(version.expected_quality_, "expected_quality");
     if (version.price_per_thousand_tokens_ < state::micro_credits{})
         throw error{error_kind::invalid_request, "The price is negative.", "Set a price of 0 or more."};
@@ -47,7 +68,8 @@
 
 auto check_profile(const state::configuration& before, const state::profile& profile) -> void
 {
-    check_not_empty(profile.name_.is_empty(), "name");
+    if (before.find_profile(profile.name_) == nullptr)
+        check_name(profile.name_.text(), "name");
     check_not_empty(profile.versions_.empty(), "versions");
     check_permille(profile.quality_target_, "quality_target");
     for (const auto& key : profile.versions_)
@@ -59,7 +81,8 @@
 
 auto check_workspace(const state::configuration& before, const state::workspace& workspace) -> void
 {
-    check_not_empty(workspace.id_.is_empty(), "id");
+    if (before.find_workspace(workspace.id_) == nullptr)
+        check_name(workspace.id_.text(), "id");
     check_not_empty(workspace.key_hash_.empty(), "key_hash");
     if (workspace.weight_ < 1 || workspace.weight_ > max_weight)
         throw error{error_kind::invalid_request, "weight is out of range.",
@@ -147,9 +170,9 @@
 
 auto check_change(const state::configuration& before, const state::configuration_change& change) -> void
 {
-    check_not_empty(change.id_.is_empty(), "change id");
+    check_name(change.id_.text(), "change id");
     std::visit(state::overloaded{
-                   [&](const state::version_settings& version) { check_version(version); },
+                   [&](const state::version_settings& version) { check_version(before, version); },
                    [&](const state::profile& profile) { check_profile(before, profile); },
                    [&](const state::workspace& workspace) { check_workspace(before, workspace); },
                    [&](const state::roll_out& roll_out) { check_roll_out(before, roll_out); },
--- a/tests/coordination/decisions.cpp
+++ b/tests/coordination/decisions.cpp
@@ -70,6 +70,40 @@
     BOOST_CHECK_THROW(coordination::configuration::check_change({}, change), state::error);
 }
 
+BOOST_AUTO_TEST_CASE(a_new_name_that_no_header_can_hold_is_refused)
+{
+    const auto is_refused = [](const state::configuration& before, state::change_content content) {
+        auto change = change_number(1, 0);
+        change.content_ = std::move(content);
+        try {
+            coordination::configuration::check_change(before, change);
+        } catch (const state::error& fault) {
+            return fault.kind() == state::error_kind::invalid_request;
+        }
+        return false;
+    };
+    const auto version = [](const std::string& model, const std::string& name) {
+        return state::version_settings{
+            .key_ = {.model_ = state::model_name{model}, .version_ = state::version_name{name}}};
+    };
+    const auto workspace = [](const std::string& id) {
+        return state::workspace{.id_ = state::workspace_id{id}, .key_hash_ = "hash"};
+    };
+    BOOST_TEST(!is_refused({}, version("a b&c=d+e#f%41/g", "1\"b\\c@2")));
+    BOOST_TEST(!is_refused({}, workspace("a b&c=d+e#f%41/g")));
+    for (const auto* name : {"a\r\nX-Not-Run: true", "a\n", " a", "a ", "a\x01"}) {
+        BOOST_TEST(is_refused({}, version("small", name)));
+        BOOST_TEST(is_refused({}, version(name, "1")));
+        BOOST_TEST(is_refused({}, workspace(name)));
+    }
+    BOOST_TEST(is_refused({}, version("a@b", "1")));
+    // One that an earlier build accepted can still be withdrawn.
+    auto before = state::configuration{};
+    const auto existing = version("small", "a\n");
+    before.versions_[existing.key_] = existing;
+    BOOST_TEST(!is_refused(before, existing));
+}
+
 BOOST_AUTO_TEST_CASE(fair_queue_shares_by_weight)
 {
     auto queue = coordination::admission::fair_queue{200};
--- a/tests/processes/odd_names_of_agents.sh
+++ b/tests/processes/odd_names_of_agents.sh
@@ -56,6 +56,13 @@
 expect "bills of a request in a ledger of several pages" "$(timeout 10 "$build/utilities/buckthorndale-control" \
     --agent "127.0.0.1:$(port 23)" --json ledger "quay$odd" | grep -c '"request" : "odd-1"')" 1
 
+# What no head can hold is rejected when it is written.
+for text in $'1\r\nX-Not-Run: true' $'1\n' ' 1' $'1\x01'; do
+    jq -nc --arg text "$text" '{ model: "odd", version: $text, price_per_thousand_tokens: 1, expected_quality: 9 }' |
+        control put versions - >"$folder/refused" 2>&1
+    expect "the code for a version that no head can hold" "$?" 1
+    expect "the error for a version that no head can hold" "$(grep -c Remedy "$folder/refused")" 1
+done
 expect "the API answers" "$(control status >/dev/null && echo yes)" yes
 for i in 1 2 3; do
     expect "agent $i is running" "$(kill -0 "${process[agent-$i]}" && echo yes)" yes
--- a/utilities/control/main.cpp
+++ b/utilities/control/main.cpp
@@ -5,6 +5,7 @@
 
 #include "protocol/json/text.hpp"
 #include "state/error.hpp"
+#include "state/field_value.hpp"
 #include "transport/http/client.hpp"
 #include "transport/process/program.hpp"
 
@@ -51,6 +52,13 @@
     if (key == nullptr)
         throw state::error{state::error_kind::invalid_request, "No operator's key is set.",
                            "Put it into the environment variable BUCKTHORNDALE_KEY."};
+    for (const auto& text : {std::string{key}, based_on.getValue(), change_id.getValue()}) {
+        if (!state::is_field_value(text))
+            throw state::error{
+                state::error_kind::invalid_request,
+                "The key, the generation or the change's name cannot be the value of a header.",
+                "Use no control characters, no blanks at the ends, and at most 1024 bytes."};
+    }
     return {.agent_ = state::network_address_from_text(agent.getValue()),
             .key_ = key,
             .is_json_ = is_json.getValue(),
