agent: Read the ledger beside objects that hold no segment

What operators saw: one object below the ledger's prefix that is no segment made the whole ledger unreadable, for all workspaces. Cause: read_ledger ended with the first object that it could not read. Evidence: processes/odd_entries_of_agents, with four such objects, on the code before: no bill was listed. With this commit the bill is, and four objects are stated as left out. Why this works: each object is read by itself. One that cannot be read is logged and counted in the answer (`unreadable`), so that nobody takes such a ledger for whole. A page that cannot be had still ends the reading, since a part of the bills must not pass for all.

--- a/services/agent/administration_service.cpp
+++ b/services/agent/administration_service.cpp
@@ -200,14 +200,15 @@
     const auto workspace = http::query_text(query, "workspace");
     auto value = Json::Value{Json::objectValue};
     value["items"] = Json::Value{Json::arrayValue};
-    for (const auto& [key, record] : ledger->bills()) {
+    for (const auto& [key, record] : ledger->bills_.bills()) {
         if (!workspace.empty() && key.workspace_.text() != workspace)
             continue;
         auto item = codec::to_json(record);
         item["total"] = Json::Int64{record.total().value()};
         value["items"].append(item);
     }
-    value["folded"] = Json::UInt64{ledger->duplicates()};
+    value["unreadable"] = Json::UInt64{ledger->unreadable_};
+    value["folded"] = Json::UInt64{ledger->bills_.duplicates()};
     co_return value;
 }
 
--- a/services/agent/ledger_writer.cpp
+++ b/services/agent/ledger_writer.cpp
@@ -10,6 +10,7 @@
 #include "protocol/rpc/message_codec.hpp"
 #include "protocol/rpc/method_names.hpp"
 #include "state/error.hpp"
+#include "transport/logging/log_text.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -149,24 +150,36 @@
     }
 }
 
-auto ledger_writer::read_ledger() -> http::awaitable<std::optional<billing::bill_deduplicator>>
+auto ledger_writer::add_segment(const transport::platform::stored_object& object,
+                                ledger_reading& ledger) const -> void
 {
-    auto folder = billing::bill_deduplicator{};
+    try {
+        const auto value = protocol::json::parse(object.value_, state::error_kind::platform_unavailable);
+        const auto segment =
+            protocol::codec::read_bill_segment({value, "", state::error_kind::platform_unavailable});
+        for (const auto& record : segment.records_)
+            ledger.bills_.add(record);
+    } catch (const state::error& fault) {
+        ++ledger.unreadable_;
+        log_.error("The segment " + transport::logging::field_text(object.name_) +
+                   " of the ledger cannot be read; its bills are left out. " + fault.what());
+    }
+}
+
+auto ledger_writer::read_ledger() -> http::awaitable<std::optional<ledger_reading>>
+{
+    auto ledger = ledger_reading{};
     auto after = std::string{};
     while (true) {
         const auto page = co_await shared_.platform_.list(names::ledger_prefix, after, page_size);
         if (!page.is_available_)
             co_return std::nullopt;
         for (const auto& object : page.objects_) {
-            const auto value = protocol::json::parse(object.value_, state::error_kind::platform_unavailable);
-            const auto segment =
-                protocol::codec::read_bill_segment({value, "", state::error_kind::platform_unavailable});
-            for (const auto& record : segment.records_)
-                folder.add(record);
+            add_segment(object, ledger);
             after = object.name_;
         }
         if (page.objects_.size() < page_size)
-            co_return folder;
+            co_return ledger;
     }
 }
 
--- a/services/agent/ledger_writer.hpp
+++ b/services/agent/ledger_writer.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/agent_state.hpp"
+#include "agent/ledger_reading.hpp"
 #include "coordination/billing/bill_deduplicator.hpp"
 #include "coordination/billing/written_ranges.hpp"
 #include "protocol/rpc/messages.hpp"
@@ -30,10 +31,13 @@
     /// Number of records that would be lost if this agent stopped now.
     auto unsaved_count() const -> std::size_t { return are_handed_over_ ? 0 : shared_.bill_table_.size(); }
 
-    /// Reads the complete ledger. Returns nothing when the platform does not respond.
-    auto read_ledger() -> transport::http::awaitable<std::optional<coordination::billing::bill_deduplicator>>;
+    /// Reads the complete ledger but for what cannot be read. Returns nothing when the platform does not
+    /// respond.
+    auto read_ledger() -> transport::http::awaitable<std::optional<ledger_reading>>;
 
 private:
+    /// Adds the bills of an object. Logs and counts one that cannot be read.
+    auto add_segment(const transport::platform::stored_object& object, ledger_reading& ledger) const -> void;
     auto write_segments() -> transport::http::awaitable<void>;
     auto write_segment(const coordination::billing::bill_segment& segment)
         -> transport::http::awaitable<void>;
--- a/tests/processes/odd_entries_of_agents.sh
+++ b/tests/processes/odd_entries_of_agents.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Entries that cannot be read, among those of the platform's instance list, spoil no other one: neither for running
-# agents nor for those that start.
+# Entries that cannot be read, among those of the platform's instance list and of the ledger, spoil no other one: neither
+# for running agents nor for those that start.
 source "$(dirname "$0")/system.bash" "$1"
 start_system
 answers() { ask "$1" quick "$2" 'tokens=3' | grep -q '\[DONE\]'; }
@@ -36,4 +36,14 @@
 for i in 10 20 30; do wait_for 17 "router $i is ready beside odd entries" is_ready "$i"; done
 expect_answers "after a start beside odd entries"
 expect "engines that the agents list" "$(control --json instances | jq -c '[ .endpoints[].id ]')" '["engine-1","engine-2","register-1"]'
+
+# Objects of other writers among the segments of the ledger.
+ask 10 quick billed 'tokens=3' >/dev/null
+wait_for 10 "the bill is in the ledger" has_bill billed
+n=0
+for text in 'not json' '{}' '[ 1 ]' '"\ud83d"'; do
+    curl -s -X PUT "http://127.0.0.1:$(port 0)/objects/ledger/entry-0-odd-$((++n))" --data-binary @- -o /dev/null <<<"$text"
+done
+expect "the bills of a request beside odd objects" "$(bills_of billed)" 1
+expect "objects that the ledger leaves out" "$(control --json ledger | jq .unreadable)" 4
 finish
