--- a/tests/platform/codecs.cpp
+++ b/tests/platform/codecs.cpp
@@ -150,6 +150,23 @@
     }
 }
 
+/// Guards against a name that fits into no datagram, and keeps the reports on all services from being sent.
+BOOST_AUTO_TEST_CASE(names_longer_than_a_datagram_are_refused)
+{
+    constexpr auto datagram_bytes = std::size_t{65'507};
+    const auto name = std::string(datagram_bytes, 'x');
+    for (const auto* field : {"service", "zone", "version"}) {
+        auto object = value(endpoint_text);
+        object["spec"][field] = name;
+        BOOST_CHECK_THROW(platform::read_endpoint(object), state::error);
+    }
+    for (const auto* field : {"service", "target"}) {
+        auto object = value(roll_out_text);
+        object["spec"][field] = name;
+        BOOST_CHECK_THROW(platform::read_roll_out(object), state::error);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(workspaces_and_models_that_no_header_can_name_spoil_no_configuration)
 {
     auto object = value(configuration_text);
