--- a/tests/processes/odd_names.sh
+++ b/tests/processes/odd_names.sh
@@ -24,6 +24,12 @@
 expect_service "with odd names"
 expect "workspaces that endpoints were told" "$(stand_in /record | jq -c .workspaces)" "$(jq -nc '[ "harbour" + env.odd ]')"
 
+# So may what callers write.
+id='id reason="forged" action=refuse é'
+expect "an answer to a request with an odd id" "$(ask 1 "$id" /lookup/tag | jq -r .attempt)" "$id"
+expect "an odd path" "$(status_of ask 1 odd-path '/lookup/a%20b&c=d+e%23f%25?x=%41+%0a&y=%26')" 200
+expect "log lines with a field that a caller has forged" "$(cat "$folder"/front-*.log | grep -c 'reason="forged"')" 0
+
 # A roll-out of the service is recorded under its name.
 for n in 5 6; do
     put_object servers "new-$n$odd" "$(endpoint_spec "desk$odd" "$n" "v2$odd")"
