front: Log at most eight names that a configuration leaves out

Each configuration logged one line for each workspace and model that no header can hold, so that their number had no bound. Found by reading; callers saw nothing. processes/odd_names passes as before.

--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 namespace buckthorndale::services::front {
 
@@ -31,6 +32,7 @@
 /// Instances that reach the same roll-out step record it with different delays, in multiples of this.
 constexpr auto recording_delay_step = state::duration{std::chrono::milliseconds{150}};
 constexpr auto recording_delay_steps = std::uint64_t{5};
+constexpr auto max_logged_names = std::size_t{8};
 /// An instance that has started hears of blocked parts within about a second.
 constexpr auto peers_per_report = 3;
 
@@ -177,7 +179,7 @@
         generation_ = table->generation_;
         log_.info("configuration in force generation=" + std::to_string(generation_.value()) + " routes=" +
                   std::to_string(table->routes_.size()) + " keys=" + std::to_string(table->keys_.size()));
-        for (const auto& name : table->unusable_names_)
+        for (const auto& name : table->unusable_names_ | std::views::take(max_logged_names))
             log_.error("workspace or model skipped name=" + field_text(name) +
                        " reason=\"no header can hold its name\"");
         on_limits_(table->limits_);
