--- a/tests/protocol/peer_messages.cpp
+++ b/tests/protocol/peer_messages.cpp
@@ -114,7 +114,7 @@
 BOOST_AUTO_TEST_CASE(any_name_survives_a_round_trip)
 {
     for (const auto& name :
-         {std::string{"a b&c=d+e#f%41/g"}, std::string{"\"a\\b\""}, std::string{"a\r\nb\tc\x01\x7f"},
+         {std::string{"a b&c=d+e#f%41/g"}, std::string{R"("a\b")"}, std::string{"a\r\nb\tc\x01\x7f"},
           std::string{"a\0b", 3}, std::string{"caf\xc3\xa9 \xe2\x80\xa8"}, std::string{"\xff\xfe a"}}) {
         auto sent = sample_message();
         sent.from_ = state::instance_id{name};
