transport: Bound the trailers of a body and the line of a chunk

Cause: Beast bounds the head of a request alone. Its read operation enlarges the buffer for as long as the parser asks for more, and the parser asks for more until a line of a chunk, or all trailers, are complete. The connection now reads by itself and rejects a request with 413 once as many bytes as a head may have wait for their end.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -22,6 +22,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <exception>
@@ -219,6 +220,8 @@
     }
 
 private:
+    using request_parser = beast::http::request_parser<beast::http::string_body>;
+
     /// A request from its first byte on, and how much of its answer was sent.
     struct request_progress {
         std::chrono::steady_clock::time_point began_at_{std::chrono::steady_clock::now()};
@@ -361,7 +364,7 @@
                 co_return false;
             buffer_.commit(received);
         }
-        auto parser = beast::http::request_parser<beast::http::string_body>{};
+        auto parser = request_parser{};
         parser.header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
         parser.body_limit(shared_->settings_.max_body_bytes_);
         progress_.emplace();
@@ -373,8 +376,8 @@
             is_late = true;
             beast::get_lowest_layer(stream_).cancel();
         });
-        co_await beast::http::async_read(stream_, buffer_, parser,
-                                         asio::redirect_error(use_awaitable, fault));
+        parser.eager(true);
+        fault = co_await read_to_end(parser);
         stop_timer();
         if (fault && is_late) {
             co_await reject(late_request_response());
@@ -394,6 +397,32 @@
         co_return true;
     }
 
+    /// Reads until the request is complete. What the parser leaves in the buffer is a part of the head, of
+    /// the line of a chunk or of the trailers, which are all bounded like a head; Beast bounds the head
+    /// alone.
+    auto read_to_end(request_parser& parser) -> awaitable<boost::system::error_code>
+    {
+        constexpr auto min_read_size = std::size_t{512};
+        auto fault = boost::system::error_code{};
+        while (true) {
+            buffer_.consume(parser.put(buffer_.data(), fault));
+            if (fault && fault != beast::http::error::need_more)
+                co_return fault;
+            if (parser.is_done())
+                co_return boost::system::error_code{};
+            if (buffer_.size() >= shared_->settings_.max_header_bytes_)
+                co_return make_error_code(beast::http::error::header_limit);
+            const auto room = std::max(min_read_size, buffer_.capacity() - buffer_.size());
+            const auto received = co_await stream_.async_read_some(
+                buffer_.prepare(std::min(room, first_read_size)), asio::redirect_error(use_awaitable, fault));
+            if (fault == asio::error::eof)
+                co_return make_error_code(beast::http::error::partial_message);
+            if (fault)
+                co_return fault;
+            buffer_.commit(received);
+        }
+    }
+
     auto end_idle_time() -> void
     {
         // Unread bytes may turn out to be no request, such as a part of a TLS record.
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -408,6 +408,23 @@
     BOOST_TEST(server.counts().incomplete_by_caller_ + server.counts().incomplete_by_instance_ == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(trailers_without_end_were_kept)
+{
+    auto server = running_server{settings(), answer_at_once};
+    const auto chunked = std::string{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"};
+    const auto limit = settings().max_header_bytes_;
+
+    auto proper = caller{server.port()};
+    proper.send(chunked + "1\r\nx\r\n0\r\nX-Trailer: value\r\n\r\n");
+    proper.read_until("served");
+
+    for (const auto& start : {"1\r\nx\r\n0\r\nX-Trailer: ", "1;extension="}) {
+        auto endless = caller{server.port()};
+        endless.send(chunked + start + std::string(2 * limit, 'x'));
+        BOOST_TEST(status_of(endless.read_all()) == "413");
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
