transport: Forget a request once it is answered

What callers saw: nothing at once, but an instance held the last request of each idle connection, of up to 4 MB, until the next one came or the connection ended after up to 15 s. Cause: the connection kept the request beyond its answer, and a read buffer that had grown for it.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -283,6 +283,7 @@
             co_await answer();
             if (!is_complete_ || !is_reusable())
                 break;
+            forget_request();
         }
     }
 
@@ -347,6 +348,16 @@
         beast::get_lowest_layer(stream_).expires_after(timeout);
     }
 
+    /// Gives back the memory of a request that was answered, also while the connection is idle.
+    auto forget_request() -> void
+    {
+        request_ = {};
+        if (buffer_.size() == 0 && buffer_.capacity() > first_read_size) {
+            buffer_.clear();
+            buffer_.shrink_to_fit();
+        }
+    }
+
     /// Reads the next request. Returns false when the caller closed the connection, the timeout expired or
     /// the request was rejected.
     auto read_request() -> awaitable<bool>
