transport: Keep one account of the memory that callers hold

What callers saw: 60 connections that sent most of a body of 4 MB and stayed open made an instance hold all of it, until the time for a request was over; more of them ended the process, since nothing bounded the sum. Cause: the limits were those of one request and of the number of connections, whose product is 8 GB.

caller_memory is the only place that knows what callers hold: connections, heads and bodies, from the first byte on. Each part is put on account before it grows. When the account is used up, whoever holds most for the longest gives way: an idle connection is closed, an incomplete request is answered 503 with Retry-After as not run. A request in progress never gives way, as it may run at an endpoint; a large one may use three quarters of the memory, so small ones find room. A single request of the largest head and body always fits. The servers for callers, other instances and probes share an account of seven twentieths of `memory_mb` (88 MiB if unset, the users' smallest machine); the router has `callers.memory_bytes`. Weighed: refusing newcomers only (whoever stays open keeps everybody else out), and a shorter time for requests (slow callers inside the limits are cut off).

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -4,6 +4,8 @@
 
 #include "protocol/caller/problem.hpp"
 #include "state/error.hpp"
+#include "transport/http/caller_share.hpp"
+#include "transport/http/held_body.hpp"
 #include "transport/logging/failure_log.hpp"
 #include "transport/logging/logger.hpp"
 
@@ -56,8 +58,12 @@
 /// Interval at which a caller's connection is checked while bytes of its next request lie unread.
 constexpr auto unread_check_interval = state::duration{std::chrono::milliseconds{100}};
 
-/// Bytes read at a time while the rest of a rejected request is discarded.
-constexpr auto discard_size = std::size_t{16'384};
+/// What a connection takes for its coroutines and its buffer, and what TLS adds to that.
+constexpr auto working_bytes = std::size_t{16'384};
+constexpr auto tls_bytes = std::size_t{49'152};
+
+/// What a field of a request takes beside its text.
+constexpr auto field_overhead = std::size_t{96};
 
 auto handshake(beast::tcp_stream& /*stream*/) -> awaitable<void>
 {
@@ -85,8 +91,17 @@
 
 auto problem_response(const state::error& fault) -> response
 {
-    return make_response(protocol::caller::status_of(fault.kind()), protocol::caller::problem_media_type,
-                         protocol::caller::problem_text(fault));
+    auto answer = make_response(protocol::caller::status_of(fault.kind()),
+                                protocol::caller::problem_media_type, protocol::caller::problem_text(fault));
+    if (fault.kind() == state::error_kind::no_capacity)
+        answer.set(beast::http::field::retry_after, refusal_retry_after);
+    return answer;
+}
+
+auto refusal_response(const std::string& text) -> response
+{
+    return problem_response(
+        {state::error_kind::no_capacity, text, "Send the request again later, over a new connection."});
 }
 
 auto late_request_response() -> response
@@ -121,8 +136,9 @@
 template <typename Stream>
 class server::connection : public exchange, public std::enable_shared_from_this<connection<Stream>> {
 public:
-    connection(Stream stream, std::shared_ptr<shared_state> shared)
-        : stream_{std::move(stream)}, shared_{std::move(shared)}, timer_{stream_.get_executor()}
+    connection(Stream stream, std::shared_ptr<shared_state> shared, std::unique_ptr<caller_share> share)
+        : stream_{std::move(stream)}, shared_{std::move(shared)}, share_{std::move(share)},
+          timer_{stream_.get_executor()}
     {}
 
     ~connection() override = default;
@@ -140,6 +156,9 @@
         }
         if (progress_ && !is_complete_)
             report_incomplete_answer();
+        share_->forbid_eviction();
+        if (request_share_)
+            request_share_->forbid_eviction();
         // A pending wait for the caller's disconnect shares ownership of the connection and ends here.
         on_disconnect_ = {};
         stop_timer();
@@ -158,10 +177,8 @@
         parser.header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
         co_await beast::http::async_read_header(stream_, buffer_, parser, use_awaitable);
         progress_.emplace();
-        auto answer = problem_response({state::error_kind::no_capacity,
-                                        "This instance has reached its limit of connections.",
-                                        "Send the request again later, over a new connection."});
-        answer.set(beast::http::field::retry_after, refusal_retry_after);
+        auto answer =
+            refusal_response("This instance has reached its limit of connections or of memory for them.");
         answer.keep_alive(false);
         co_await write(to_wire(answer), timeout);
         is_complete_ = true;
@@ -220,7 +237,7 @@
     }
 
 private:
-    using request_parser = beast::http::request_parser<beast::http::string_body>;
+    using request_parser = beast::http::request_parser<held_body>;
 
     /// A request from its first byte on, and how much of its answer was sent.
     struct request_progress {
@@ -274,6 +291,7 @@
     auto serve_requests() -> awaitable<void>
     {
         set_timeout(shared_->settings_.request_timeout_);
+        share_->allow_eviction([this] { give_way(); });
         co_await handshake(stream_);
         while (true) {
             const auto has_request = co_await read_request();
@@ -351,7 +369,9 @@
     /// Gives back the memory of a request that was answered, also while the connection is idle.
     auto forget_request() -> void
     {
+        parser_.reset();
         request_ = {};
+        request_share_.reset();
         if (buffer_.size() == 0 && buffer_.capacity() > first_read_size) {
             buffer_.clear();
             buffer_.shrink_to_fit();
@@ -362,22 +382,12 @@
     /// the request was rejected.
     auto read_request() -> awaitable<bool>
     {
-        auto fault = boost::system::error_code{};
         if (buffer_.size() == 0) {
-            beast::get_lowest_layer(stream_).expires_never();
-            call_after(shared_->settings_.idle_timeout_, [this] { end_idle_time(); });
-            shared_->idle_.insert_or_assign(this, [this] { close_if_unused(); });
-            const auto received = co_await stream_.async_read_some(
-                buffer_.prepare(first_read_size), asio::redirect_error(use_awaitable, fault));
-            shared_->idle_.erase(this);
-            stop_timer();
-            if (fault)
+            const auto has_begun = co_await wait_for_request();
+            if (!has_begun)
                 co_return false;
-            buffer_.commit(received);
         }
-        auto parser = request_parser{};
-        parser.header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
-        parser.body_limit(shared_->settings_.max_body_bytes_);
+        begin_request();
         progress_.emplace();
         is_complete_ = false;
         auto is_late = false;
@@ -387,9 +397,22 @@
             is_late = true;
             beast::get_lowest_layer(stream_).cancel();
         });
-        parser.eager(true);
-        fault = co_await read_to_end(parser);
+        share_->allow_eviction([this] { give_way(); });
+        request_share_->allow_eviction([this] {
+            parser_.reset();
+            beast::get_lowest_layer(stream_).cancel();
+        });
+        const auto fault = co_await read_to_end();
+        share_->forbid_eviction();
+        request_share_->forbid_eviction();
         stop_timer();
+        if (!parser_ || fault == boost::system::errc::not_enough_memory) {
+            shared_->record_memory_used_up();
+            forget_request();
+            co_await reject(
+                refusal_response("The requests at this instance take all of its memory for them."));
+            co_return false;
+        }
         if (fault && is_late) {
             co_await reject(late_request_response());
             co_return false;
@@ -398,7 +421,7 @@
             co_await reject_unreadable(fault);
             co_return false;
         }
-        request_ = parser.release();
+        take_request();
         if (has_unknown_coding(request_)) {
             co_await reject(problem_response(
                 {state::error_kind::invalid_request, "The transfer coding of the request is not supported.",
@@ -408,24 +431,67 @@
         co_return true;
     }
 
+    auto begin_request() -> void
+    {
+        request_share_ = std::make_shared<caller_share>(shared_->settings_.memory_);
+        parser_.emplace();
+        parser_->header_limit(static_cast<std::uint32_t>(shared_->settings_.max_header_bytes_));
+        parser_->body_limit(shared_->settings_.max_body_bytes_);
+        parser_->eager(true);
+        parser_->get().body().share_ = request_share_.get();
+    }
+
+    /// Waits for the first bytes of the next request. Returns false when the connection ends before.
+    auto wait_for_request() -> awaitable<bool>
+    {
+        auto fault = boost::system::error_code{};
+        beast::get_lowest_layer(stream_).expires_never();
+        call_after(shared_->settings_.idle_timeout_, [this] { end_idle_time(); });
+        shared_->idle_.insert_or_assign(this, [this] { close_if_unused(); });
+        share_->allow_eviction([this] { beast::get_lowest_layer(stream_).cancel(); });
+        const auto received = co_await stream_.async_read_some(buffer_.prepare(first_read_size),
+                                                               asio::redirect_error(use_awaitable, fault));
+        share_->forbid_eviction();
+        shared_->idle_.erase(this);
+        stop_timer();
+        if (fault)
+            co_return false;
+        buffer_.commit(received);
+        // The connection may have had to give way while its request arrived.
+        co_return share_->try_hold(held_part::connection, shared_->connection_bytes());
+    }
+
+    /// Closes the connection without an answer, so that others can be served.
+    auto give_way() -> void
+    {
+        end_by(connection_side::instance, "the connection gave way to others");
+        close();
+    }
+
     /// Reads until the request is complete. What the parser leaves in the buffer is a part of the head, of
     /// the line of a chunk or of the trailers, which are all bounded like a head; Beast bounds the head
     /// alone.
-    auto read_to_end(request_parser& parser) -> awaitable<boost::system::error_code>
+    auto read_to_end() -> awaitable<boost::system::error_code>
     {
         constexpr auto min_read_size = std::size_t{512};
         auto fault = boost::system::error_code{};
+        auto has_held_head = false;
         while (true) {
-            buffer_.consume(parser.put(buffer_.data(), fault));
+            buffer_.consume(parser_->put(buffer_.data(), fault));
             if (fault && fault != beast::http::error::need_more)
                 co_return fault;
-            if (parser.is_done())
+            if (parser_->is_header_done() && !std::exchange(has_held_head, true) && !hold_head())
+                co_return boost::system::errc::make_error_code(boost::system::errc::not_enough_memory);
+            if (parser_->is_done())
                 co_return boost::system::error_code{};
             if (buffer_.size() >= shared_->settings_.max_header_bytes_)
                 co_return make_error_code(beast::http::error::header_limit);
             const auto room = std::max(min_read_size, buffer_.capacity() - buffer_.size());
             const auto received = co_await stream_.async_read_some(
                 buffer_.prepare(std::min(room, first_read_size)), asio::redirect_error(use_awaitable, fault));
+            // The request gave way to others meanwhile.
+            if (!parser_)
+                co_return make_error_code(asio::error::operation_aborted);
             if (fault == asio::error::eof)
                 co_return make_error_code(beast::http::error::partial_message);
             if (fault)
@@ -434,6 +500,25 @@
         }
     }
 
+    /// Puts the head of a request on account, and what the buffer takes beyond its usual size.
+    auto hold_head() -> bool
+    {
+        auto& body = parser_->get().body();
+        body.head_bytes_ = buffer_.capacity() - std::min(buffer_.capacity(), first_read_size);
+        for (const auto& field : parser_->get())
+            body.head_bytes_ += field.name_string().size() + field.value().size() + field_overhead;
+        return request_share_->try_hold(held_part::message, body.head_bytes_ + body.bytes_.capacity());
+    }
+
+    auto take_request() -> void
+    {
+        auto received = parser_->release();
+        parser_.reset();
+        is_keep_alive_ = received.keep_alive();
+        request_ = request{std::move(received.base())};
+        request_.body() = std::move(received.body().bytes_);
+    }
+
     auto end_idle_time() -> void
     {
         // Unread bytes may turn out to be no request, such as a part of a TLS record.
@@ -473,8 +558,10 @@
     auto reject(response answer) -> awaitable<void>
     {
         answer.keep_alive(false);
+        share_->allow_eviction([this] { give_way(); });
         co_await write(to_wire(answer));
         is_complete_ = true;
+        forget_request();
         co_await discard_rest(shared_->settings_.discard_timeout_);
     }
 
@@ -486,10 +573,9 @@
         auto& transport = beast::get_lowest_layer(stream_);
         transport.socket().shutdown(asio::ip::tcp::socket::shutdown_send, fault);
         auto discarded = std::size_t{0};
-        auto bytes = std::array<char, discard_size>{};
         set_timeout(timeout);
         while (!fault && discarded < shared_->settings_.max_discarded_bytes_) {
-            discarded += co_await transport.async_read_some(asio::buffer(bytes),
+            discarded += co_await transport.async_read_some(asio::buffer(shared_->discarded_),
                                                             asio::redirect_error(use_awaitable, fault));
         }
     }
@@ -539,10 +625,7 @@
             end_by(connection_side::instance, "the handler failed: " + failure);
     }
 
-    auto is_reusable() const -> bool
-    {
-        return request_.keep_alive() && !is_aborted_ && !shared_->is_stopping_;
-    }
+    auto is_reusable() const -> bool { return is_keep_alive_ && !is_aborted_ && !shared_->is_stopping_; }
 
     auto close() -> void
     {
@@ -554,10 +637,16 @@
 
     Stream stream_;
     std::shared_ptr<shared_state> shared_;
+    std::unique_ptr<caller_share> share_;
     beast::flat_buffer buffer_;
     asio::steady_timer timer_;
     std::uint64_t timer_round_{0};
+    /// Set while a request is being read.
+    std::optional<request_parser> parser_;
     request request_;
+    /// What the request and its answer hold; kept by the handler as well.
+    std::shared_ptr<caller_share> request_share_;
+    bool is_keep_alive_{false};
     std::function<void()> on_disconnect_;
     std::optional<request_progress> progress_;
     std::optional<ending> ending_;
@@ -591,6 +680,21 @@
                std::to_string(counts_.refused_ - std::exchange(refused_before_, counts_.refused_)));
 }
 
+auto server::shared_state::connection_bytes() const -> std::size_t
+{
+    return working_bytes + (settings_.tls_.is_on() ? tls_bytes : 0);
+}
+
+auto server::shared_state::record_memory_used_up() -> void
+{
+    if (!memory_lines_.admits(std::chrono::steady_clock::now()))
+        return;
+    const auto memory = settings_.memory_->counts();
+    log().warn("limit reached limit=memory held=" + std::to_string(memory.held_) +
+               " max=" + std::to_string(memory.limit_) + " evicted=" + std::to_string(memory.evicted_) +
+               " refused=" + std::to_string(memory.refused_));
+}
+
 auto server::shared_state::record_limit_reached() -> void
 {
     if (std::exchange(is_at_limit_, true))
@@ -621,6 +725,8 @@
 {
     const auto address = to_socket_address(settings.address_);
     shared_->settings_ = std::move(settings);
+    shared_->settings_.memory_->fit_request(shared_->settings_.max_header_bytes_,
+                                            shared_->settings_.max_body_bytes_);
     shared_->handler_ = std::move(handler);
     if (shared_->settings_.tls_.is_on())
         tls_ = load_tls(shared_->settings_.tls_);
@@ -663,12 +769,14 @@
     shared_->settings_.max_body_bytes_ = limits.largest_body_;
     shared_->settings_.request_timeout_ = limits.request_limit_;
     shared_->settings_.idle_timeout_ = limits.idle_limit_;
+    shared_->settings_.memory_->fit_request(limits.largest_header_, limits.largest_body_);
 }
 
 auto server::counts() const -> server_counts
 {
     auto counts = shared_->counts_;
     counts.max_connections_ = shared_->settings_.max_connections_;
+    counts.memory_ = shared_->settings_.memory_->counts();
     return counts;
 }
 
@@ -689,42 +797,53 @@
             co_await timer.async_wait(use_awaitable);
             continue;
         }
-        if (shared_->counts_.open_connections_ < shared_->settings_.max_connections_)
-            asio::co_spawn(context_, serve(std::move(socket)), logging::failure_log{"http", "serve"});
+        auto share = std::make_unique<caller_share>(shared_->settings_.memory_);
+        if (shared_->counts_.open_connections_ < shared_->settings_.max_connections_ &&
+            share->try_hold(held_part::connection, shared_->connection_bytes()))
+            asio::co_spawn(context_, serve(std::move(socket), std::move(share)),
+                           logging::failure_log{"http", "serve"});
         else
-            asio::co_spawn(context_, refuse(std::move(socket)), logging::failure_log{"http", "refuse"});
+            asio::co_spawn(context_, refuse(std::move(socket), std::move(share)),
+                           logging::failure_log{"http", "refuse"});
     }
 }
 
-auto server::serve(asio::ip::tcp::socket socket) -> awaitable<void>
+auto server::serve(asio::ip::tcp::socket socket, std::unique_ptr<caller_share> share) -> awaitable<void>
 {
     const auto place = connection_place{shared_};
-    co_await run_connection(std::move(socket), [](auto& accepted) { return accepted.run(); });
+    co_await run_connection(std::move(socket), std::move(share),
+                            [](auto& accepted) { return accepted.run(); });
 }
 
-auto server::refuse(asio::ip::tcp::socket socket) -> awaitable<void>
+auto server::refuse(asio::ip::tcp::socket socket, std::unique_ptr<caller_share> share) -> awaitable<void>
 {
     const auto shared = shared_;
     auto& counts = shared->counts_;
-    shared->record_limit_reached();
+    if (counts.open_connections_ >= shared->settings_.max_connections_)
+        shared->record_limit_reached();
+    else
+        shared->record_memory_used_up();
     ++counts.refused_;
-    if (counts.open_refusals_ >= shared->settings_.max_refusals_) {
+    if (counts.open_refusals_ >= shared->settings_.max_refusals_ ||
+        !share->try_hold(held_part::refusal, shared->connection_bytes())) {
         ++counts.refused_without_answer_;
         co_return;
     }
     ++counts.open_refusals_;
     auto is_answered = false;
-    co_await run_connection(std::move(socket), [&is_answered](auto& accepted) -> awaitable<void> {
-        co_await accepted.refuse();
-        is_answered = accepted.is_complete();
-    });
+    co_await run_connection(std::move(socket), std::move(share),
+                            [&is_answered](auto& accepted) -> awaitable<void> {
+                                co_await accepted.refuse();
+                                is_answered = accepted.is_complete();
+                            });
     --counts.open_refusals_;
     if (!is_answered)
         ++counts.refused_without_answer_;
 }
 
 template <typename Run>
-auto server::run_connection(asio::ip::tcp::socket socket, Run run) -> awaitable<void>
+auto server::run_connection(asio::ip::tcp::socket socket, std::unique_ptr<caller_share> share, Run run)
+    -> awaitable<void>
 {
     auto ignored = boost::system::error_code{};
     socket.set_option(asio::ip::tcp::no_delay{true}, ignored);
@@ -732,12 +851,13 @@
     try {
         if (tls_) {
             using tls_stream = beast::ssl_stream<beast::tcp_stream>;
-            auto accepted =
-                std::make_shared<connection<tls_stream>>(tls_stream{std::move(stream), *tls_}, shared_);
+            auto accepted = std::make_shared<connection<tls_stream>>(tls_stream{std::move(stream), *tls_},
+                                                                     shared_, std::move(share));
             co_await run(*accepted);
             co_return;
         }
-        auto accepted = std::make_shared<connection<beast::tcp_stream>>(std::move(stream), shared_);
+        auto accepted =
+            std::make_shared<connection<beast::tcp_stream>>(std::move(stream), shared_, std::move(share));
         co_await run(*accepted);
     } catch (const boost::system::system_error& fault) {
         log().debug(std::string{"Connection failed: "} + fault.what());
--- a/libraries/transport/http/server.hpp
+++ b/libraries/transport/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "state/routing_table.hpp"
+#include "transport/http/caller_share.hpp"
 #include "transport/http/exchange.hpp"
 #include "transport/http/server_counts.hpp"
 #include "transport/http/server_settings.hpp"
@@ -11,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
 
+#include <array>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -63,6 +65,7 @@
         exchange_handler handler_;
         server_counts counts_;
         logging::line_budget incomplete_lines_{max_incomplete_lines_per_second};
+        logging::line_budget memory_lines_{1};
         bool is_stopping_{false};
         bool is_crowded_{false};
         bool is_at_limit_{false};
@@ -72,8 +75,14 @@
         auto add_connection() -> void;
         auto remove_connection() -> void;
         auto record_limit_reached() -> void;
+        /// Logs that the memory for callers is used up, once a second at most.
+        auto record_memory_used_up() -> void;
+        /// What a connection holds at least, with what lies unread in its socket.
+        auto connection_bytes() const -> std::size_t;
         /// Closes a connection that is waiting for a request, by connection.
         std::map<const void*, std::function<void()>> idle_;
+        /// Where all connections put what they read and discard.
+        std::array<char, 16'384> discarded_{};
     };
 
     template <typename Stream>
@@ -81,12 +90,13 @@
     class connection_place;
 
     auto accept_connections() -> awaitable<void>;
-    auto serve(asio::ip::tcp::socket socket) -> awaitable<void>;
-    /// Answers a connection over the limit with 503, unless too many are being refused already.
-    auto refuse(asio::ip::tcp::socket socket) -> awaitable<void>;
+    auto serve(asio::ip::tcp::socket socket, std::unique_ptr<caller_share> share) -> awaitable<void>;
+    /// Answers a connection over the limits with 503, unless too many are being refused already.
+    auto refuse(asio::ip::tcp::socket socket, std::unique_ptr<caller_share> share) -> awaitable<void>;
     /// Makes a connection of the socket and lets it run.
     template <typename Run>
-    auto run_connection(asio::ip::tcp::socket socket, Run run) -> awaitable<void>;
+    auto run_connection(asio::ip::tcp::socket socket, std::unique_ptr<caller_share> share, Run run)
+        -> awaitable<void>;
 
     asio::io_context& context_;
     std::shared_ptr<shared_state> shared_;
--- a/libraries/transport/http/server_counts.hpp
+++ b/libraries/transport/http/server_counts.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "transport/http/caller_memory_counts.hpp"
+
 #include <cstddef>
 #include <cstdint>
 
@@ -20,6 +22,7 @@
     /// Connections that ended before the answer to a request, begun or read, was complete.
     std::uint64_t incomplete_by_caller_{0};
     std::uint64_t incomplete_by_instance_{0};
+    caller_memory_counts memory_;
 };
 
 } // namespace buckthorndale::transport::http
--- a/libraries/transport/http/server_settings.hpp
+++ b/libraries/transport/http/server_settings.hpp
@@ -3,8 +3,10 @@
 #include "protocol/json/object_reader.hpp"
 #include "state/network_address.hpp"
 #include "state/units.hpp"
+#include "transport/http/caller_memory.hpp"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 
 namespace buckthorndale::transport::http {
@@ -40,6 +42,9 @@
     state::duration discard_timeout_{std::chrono::seconds{2}};
     std::size_t max_discarded_bytes_{16'777'216};
     tls_settings tls_;
+    /// The account of what callers make the process hold. Servers of the same thread may share one; never
+    /// null.
+    std::shared_ptr<caller_memory> memory_{std::make_shared<caller_memory>()};
 };
 
 } // namespace buckthorndale::transport::http
--- a/services/front/control_worker.cpp
+++ b/services/front/control_worker.cpp
@@ -46,7 +46,10 @@
 control_worker::control_worker(const front_settings& settings)
     : settings_{settings}, client_{worker_.context()},
       store_{client_, settings.store_address_, [this](state::store_era era) { learn_era(era); }},
-      control_server_{worker_.context(), http::server_settings{.address_ = settings.control_address_},
+      control_server_{worker_.context(),
+                      http::server_settings{
+                          .address_ = settings.control_address_,
+                          .memory_ = std::make_shared<http::caller_memory>(caller_memory_bytes(settings))},
                       [this](http::exchange& exchange) { return serve_peer(exchange); }},
       peers_{worker_.context(), settings,
              [this](protocol::peer::peer_message message) {
--- a/services/front/front_settings.cpp
+++ b/services/front/front_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "protocol/settings/settings_file.hpp"
 
+#include <algorithm>
+
 namespace buckthorndale::services::front {
 
 namespace {
@@ -40,10 +42,22 @@
     return {.host_ = settings.control_address_.host_, .port_ = settings.peer_port_};
 }
 
+auto caller_memory_bytes(const front_settings& settings) -> std::size_t
+{
+    constexpr auto bytes_per_mb = std::size_t{1'048'576};
+    constexpr auto most_bytes = std::size_t{80} * bytes_per_mb;
+    // Two accounts of this size leave three tenths to the process itself.
+    constexpr auto twentieths = std::size_t{7};
+    const auto memory = static_cast<std::size_t>(settings.memory_mb_) * bytes_per_mb;
+    return std::min(memory / 20 * twentieths, most_bytes);
+}
+
 auto read_front_settings(const std::string& path) -> front_settings
 {
     constexpr auto max_port = 65'535;
     constexpr auto max_stop_seconds = 3600;
+    constexpr auto min_memory_mb = 16;
+    constexpr auto max_memory_mb = 65'536;
     constexpr auto default_session_seconds = 5.0;
     const auto file = protocol::settings::settings_file{path};
     auto reader = file.reader();
@@ -68,6 +82,11 @@
         settings.emptying_delay_ = delay_or(reader, "emptying_delay_ms", settings.endpoints_delay_);
     settings.shares_by_workspace_ = reader.boolean_or("shares_by_workspace", false);
     settings.learns_capacity_ = reader.boolean_or("learns_capacity", false);
+    settings.memory_mb_ = static_cast<std::int64_t>(
+        decimal_or(reader, "memory_mb", static_cast<double>(front_settings::default_memory_mb)));
+    if (settings.memory_mb_ < min_memory_mb || settings.memory_mb_ > max_memory_mb)
+        throw state::error{state::error_kind::invalid_settings, "memory_mb is not in the allowed range.",
+                           "Set it to 16 to 65536 MiB."};
     if (reader.has("log"))
         settings.log_ = protocol::settings::read_log_settings(reader.child("log"));
     reader.finish();
--- a/services/front/front_settings.hpp
+++ b/services/front/front_settings.hpp
@@ -5,6 +5,7 @@
 #include "state/network_address.hpp"
 #include "state/units.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -44,9 +45,16 @@
     bool shares_by_workspace_{false};
     /// Whether the load that each endpoint takes well is learned from its answers.
     bool learns_capacity_{false};
+    /// The memory of the machine for this process, in MiB.
+    std::int64_t memory_mb_{default_memory_mb};
     protocol::settings::log_settings log_;
+
+    static constexpr auto default_memory_mb = std::int64_t{88};
 };
 
+/// The bytes that callers may make the instance hold, and as much again the other instances.
+auto caller_memory_bytes(const front_settings& settings) -> std::size_t;
+
 /// Where the instance accepts requests that others pass on: the TCP port with the number of the UDP one.
 auto relay_address(const front_settings& settings) -> state::network_address;
 
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -26,15 +26,18 @@
 constexpr auto text_content_type = "text/plain; charset=utf-8";
 constexpr auto metrics_content_type = "text/plain; version=0.0.4";
 
-auto caller_server_settings(const front_settings& settings) -> http::server_settings
+auto server_settings(const state::network_address& address,
+                     const std::shared_ptr<http::caller_memory>& memory) -> http::server_settings
 {
-    return {.address_ = settings.caller_address_};
+    return {.address_ = address, .memory_ = memory};
 }
 
-auto probe_server_settings(const front_settings& settings) -> http::server_settings
+auto probe_server_settings(const front_settings& settings, const std::shared_ptr<http::caller_memory>& memory)
+    -> http::server_settings
 {
     constexpr auto max_probe_connections = std::size_t{64};
-    return {.address_ = settings.probe_address_, .max_connections_ = max_probe_connections};
+    return {
+        .address_ = settings.probe_address_, .max_connections_ = max_probe_connections, .memory_ = memory};
 }
 
 /// Connections within a region open within a few milliseconds, and endpoints answer probes beside their work.
@@ -72,11 +75,12 @@
     : is_ready_{std::move(is_ready)}, decision_requests_{std::move(decision_requests)},
       endpoint_counts_{std::move(endpoint_counts)}, store_{store},
       client_{worker_.context(), http::client::endpoint_max_unacknowledged}, runner_{client_},
-      callers_{worker_.context(), caller_server_settings(settings),
+      memory_{std::make_shared<http::caller_memory>(caller_memory_bytes(settings))},
+      callers_{worker_.context(), server_settings(settings.caller_address_, memory_),
                [this](http::exchange& exchange) { return serve_caller(exchange, false); }},
-      relayed_{worker_.context(), http::server_settings{.address_ = relay_address(settings)},
+      relayed_{worker_.context(), server_settings(relay_address(settings), memory_),
                [this](http::exchange& exchange) { return serve_caller(exchange, true); }},
-      probes_{worker_.context(), probe_server_settings(settings),
+      probes_{worker_.context(), probe_server_settings(settings, memory_),
               [this](http::exchange& exchange) { return serve_probe(exchange); }},
       stall_ticker_{worker_.context(), stall_check_interval, [this] { report_stalled_attempts(); }},
       from_decision_{ring_capacity, worker_.context(), [this](network_action& action) { perform(action); }}
--- a/services/front/network_worker.hpp
+++ b/services/front/network_worker.hpp
@@ -5,6 +5,7 @@
 #include "front/forwarded_call.hpp"
 #include "front/front_settings.hpp"
 #include "front/traffic_metrics.hpp"
+#include "transport/http/caller_memory.hpp"
 #include "transport/http/server.hpp"
 #include "transport/logging/logger.hpp"
 #include "transport/ring/bounded_ring.hpp"
@@ -86,6 +87,8 @@
     traffic_metrics metrics_;
     transport::http::client client_;
     forward_runner runner_;
+    /// What the callers of all servers below make this instance hold.
+    std::shared_ptr<transport::http::caller_memory> memory_;
     transport::http::server callers_;
     /// Requests that other instances pass on.
     transport::http::server relayed_;
--- a/services/front/traffic_metrics.cpp
+++ b/services/front/traffic_metrics.cpp
@@ -39,6 +39,10 @@
     const auto incomplete = std::string{"buckthorndale_incomplete_answers_total{closed_by="};
     text << incomplete << "\"caller\"} " << counts.incomplete_by_caller_ << "\n";
     text << incomplete << "\"instance\"} " << counts.incomplete_by_instance_ << "\n";
+    text << "buckthorndale_caller_memory_bytes " << counts.memory_.held_ << "\n";
+    text << "buckthorndale_caller_memory_limit_bytes " << counts.memory_.limit_ << "\n";
+    text << "buckthorndale_caller_evictions_total " << counts.memory_.evicted_ << "\n";
+    text << "buckthorndale_caller_memory_refusals_total " << counts.memory_.refused_ << "\n";
 }
 
 auto seconds(state::duration time) -> double
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -14,6 +14,8 @@
 constexpr auto max_runs = std::int64_t{20};
 constexpr auto min_bytes = std::int64_t{1024};
 constexpr auto max_bytes = std::int64_t{67'108'864};
+constexpr auto min_memory_bytes = std::int64_t{1'048'576};
+constexpr auto max_memory_bytes = std::int64_t{68'719'476'736};
 
 auto read_address(object_reader& reader, std::string_view field) -> state::network_address
 {
@@ -39,6 +41,9 @@
     settings.request_timeout_ =
         reader.milliseconds_or("request_limit_ms", 1, max_ms, settings.request_timeout_);
     settings.idle_timeout_ = reader.milliseconds_or("idle_limit_ms", 1, max_ms, settings.idle_timeout_);
+    settings.memory_ = std::make_shared<transport::http::caller_memory>(static_cast<std::size_t>(
+        reader.integer_or("memory_bytes", min_memory_bytes, max_memory_bytes,
+                          static_cast<std::int64_t>(transport::http::caller_memory::default_limit))));
     settings.write_timeout_ = reader.milliseconds_or("write_limit_ms", 1, max_ms, settings.write_timeout_);
     if (reader.has("tls"))
         settings.tls_ = transport::http::read_tls_settings(reader.child("tls"));
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -425,6 +425,53 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(bodies_that_never_ended_kept_others_out)
+{
+    constexpr auto callers = 20;
+    auto limited = settings();
+    limited.max_body_bytes_ = 400'000;
+    limited.memory_ = std::make_shared<http::caller_memory>(4'000'000);
+    auto server = running_server{limited, answer_at_once};
+    const auto body = std::string(limited.max_body_bytes_, 'x');
+    const auto head =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    auto unfinished = std::vector<std::unique_ptr<caller>>{};
+    for (auto count = 0; count < callers; ++count) {
+        unfinished.push_back(std::make_unique<caller>(server.port()));
+        unfinished.back()->send(head + body.substr(1));
+    }
+    auto small = caller{server.port()};
+    small.send(plain_request);
+    small.read_until("served");
+    auto large = caller{server.port()};
+    large.send(head + body);
+    large.read_until("served");
+    const auto& held = server.run([](http::server& item) { return item.counts(); }).memory_;
+    BOOST_TEST(held.held_ <= held.limit_);
+    BOOST_TEST(held.evicted_ > 0U);
+    // Who gave way was told so.
+    const auto answer = unfinished.front()->read_all();
+    BOOST_TEST(status_of(answer) == "503");
+    BOOST_TEST(answer.find("Retry-After: 1\r\n") != std::string::npos);
+    BOOST_TEST(answer.find("\"run\":\"not-run\"") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(idle_connections_held_their_last_request)
+{
+    auto server = running_server{settings(), answer_at_once};
+    const auto body = std::string(settings().max_body_bytes_, 'x');
+    const auto head =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    auto idle = caller{server.port()};
+    BOOST_TEST(holds_soon([&] { return server.counts().open_connections_ == 1; }));
+    const auto held_before = server.counts().memory_.held_;
+    idle.send(head + body);
+    idle.read_until("served");
+    BOOST_TEST(holds_soon([&] { return server.counts().memory_.held_ == held_before; }));
+    idle.close();
+    BOOST_TEST(holds_soon([&] { return server.counts().memory_.held_ == 0U; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
