front: Keep few parts of a prompt, and what is decided on, on account

What callers saw: a head of 16 KB that names 8,000 parts of a prompt made an instance hold twenty times as much, for as long as the request lasted. Cause: each part became an entry of 40 bytes, though decisions use the first 32 shared ones and the last two alone. What else is kept of a request was on no account.

--- a/libraries/coordination/forwarding/forward_request.hpp
+++ b/libraries/coordination/forwarding/forward_request.hpp
@@ -21,6 +21,9 @@
     auto operator==(const prompt_part&) const -> bool = default;
 };
 
+/// Callers choose the number of parts, and each shared one is reported to the other instances after a crash.
+inline constexpr auto max_shared_parts = std::size_t{32};
+
 /// The properties of a forwarded request that routing depends on. The network thread keeps its bytes.
 struct forward_request {
     /// The caller's id for this attempt, as written to logs.
@@ -39,7 +42,8 @@
     state::model_name model_;
     state::token_count prompt_tokens_;
     state::token_count max_answer_tokens_;
-    /// The parts in prompt order. The last one belongs to this request or its session alone.
+    /// The parts in prompt order, of which a long prompt lacks some between the first max_shared_parts and
+    /// the last two. The last one belongs to this request or its session alone.
     std::vector<prompt_part> prompt_;
     state::session_id session_;
     /// Id of the last event that the caller received in an earlier attempt; empty if there was none.
@@ -70,10 +74,8 @@
 /// The parts of the prompt that other requests may share.
 inline auto shared_parts(const forward_request& request) -> std::vector<state::prompt_part_key>
 {
-    // Callers choose the number of parts, and each is reported to the other instances after a crash.
-    constexpr auto max_parts = std::size_t{32};
     auto keys = std::vector<state::prompt_part_key>{};
-    for (auto i = std::size_t{0}; i + 1 < request.prompt_.size() && i < max_parts; ++i)
+    for (auto i = std::size_t{0}; i + 1 < request.prompt_.size() && i < max_shared_parts; ++i)
         keys.emplace_back(state::stable_hash(request.prompt_[i].id_));
     return keys;
 }
--- a/libraries/transport/http/exchange.hpp
+++ b/libraries/transport/http/exchange.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "transport/http/caller_share.hpp"
 #include "transport/http/types.hpp"
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -20,6 +22,9 @@
     /// The complete request.
     virtual auto message() const -> const request& = 0;
 
+    /// What the request holds of the memory for callers. Whoever keeps the request keeps this too.
+    virtual auto share() -> const std::shared_ptr<caller_share>& = 0;
+
     /// Sends a complete response.
     virtual auto send(response answer) -> awaitable<void> = 0;
 
--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -190,6 +190,8 @@
 
     auto message() const -> const request& override { return request_; }
 
+    auto share() -> const std::shared_ptr<caller_share>& override { return request_share_; }
+
     auto send(response answer) -> awaitable<void> override
     {
         is_answered_ = true;
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -52,6 +52,19 @@
 /// A longer time between two checks means that this process was paused.
 constexpr auto max_stall_check_interval = 2 * stall_check_interval;
 
+/// Puts on account what the decision worker keeps of a request.
+auto hold_decision(http::caller_share& share, const forwarding::forward_request& request) -> void
+{
+    // Texts of the request are kept by several tables.
+    constexpr auto copies = std::size_t{4};
+    auto bytes = request.prompt_.capacity() * sizeof(forwarding::prompt_part);
+    bytes += copies * (request.id_.text().size() + request.session_.text().size() + request.path_.size());
+    if (!share.try_hold(http::held_part::decision, bytes))
+        throw state::error{state::error_kind::no_capacity,
+                           "The requests at this instance take all of its memory for them.",
+                           "Send the request again after a second."};
+}
+
 auto stop_connection(forward_attempt& attempt) -> void
 {
     if (attempt.stream_)
@@ -157,6 +170,7 @@
     auto request = is_relayed ? platform::read_relayed_request(exchange.message())
                               : platform::read_request(exchange.message());
     exchange.set_label("request=" + transport::logging::field_text(request.id_.text()));
+    hold_decision(*exchange.share(), request);
     last_handle_ = last_handle_.next();
     const auto handle = last_handle_;
     const auto call =
