transport: Bound what lies unread in callers' sockets

What callers saw: bytes that a caller sends behind a request in progress are not read, and the system grew the socket's buffer for them. Cause: without a size of its own, the buffer of a socket grows with what was read before, up to 32 MB on the machine measured. The size is fixed at 16 KiB, of which Linux makes 32 KiB; each connection puts that much on account when it is accepted.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -58,6 +58,11 @@
 /// Interval at which a caller's connection is checked while bytes of its next request lie unread.
 constexpr auto unread_check_interval = state::duration{std::chrono::milliseconds{100}};
 
+/// Receive buffer of a caller's socket, in bytes. Linux doubles the value for its own overhead, and bytes
+/// beyond it are not acknowledged, so that callers cannot make the system hold more.
+constexpr auto receive_buffer_size = 16'384;
+constexpr auto max_unread_bytes = 2 * static_cast<std::size_t>(receive_buffer_size);
+
 /// What a connection takes for its coroutines and its buffer, and what TLS adds to that.
 constexpr auto working_bytes = std::size_t{16'384};
 constexpr auto tls_bytes = std::size_t{49'152};
@@ -684,7 +689,7 @@
 
 auto server::shared_state::connection_bytes() const -> std::size_t
 {
-    return working_bytes + (settings_.tls_.is_on() ? tls_bytes : 0);
+    return max_unread_bytes + working_bytes + (settings_.tls_.is_on() ? tls_bytes : 0);
 }
 
 auto server::shared_state::record_memory_used_up() -> void
@@ -735,6 +740,8 @@
     try {
         acceptor_.open(address.protocol());
         acceptor_.set_option(asio::socket_base::reuse_address{true});
+        // Accepted connections inherit the size.
+        acceptor_.set_option(asio::socket_base::receive_buffer_size{receive_buffer_size});
         acceptor_.bind(address);
         acceptor_.listen();
     } catch (const boost::system::system_error& fault) {
