front, router: Hold the body of a request once

What callers saw: whole bodies of 4 MB that waited for an endpoint made an instance hold five to six times as much, and on no account. Cause: the connection, the call, each attempt and the text that an attempt writes had a copy each, and the attempts' outlived the caller. The call now takes the request out of the connection, together with its share of the memory; endpoints get the head and the body from where it is.

--- a/libraries/transport/http/client.cpp
+++ b/libraries/transport/http/client.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 
 namespace buckthorndale::transport::http {
 
@@ -217,15 +218,16 @@
 }
 
 auto client::open(const state::network_address& peer, request message, const timeouts& time_limits,
-                  bool needs_new_connection) -> awaitable<std::unique_ptr<response_stream>>
+                  bool needs_new_connection, std::string_view body)
+    -> awaitable<std::unique_ptr<response_stream>>
 {
     auto connection = needs_new_connection ? nullptr : take_idle(peer);
     const auto is_reused = connection != nullptr;
     if (!connection)
         connection = co_await connect(peer, time_limits.connect_);
     try {
-        auto stream =
-            co_await send_over(std::move(connection), peer, std::move(message), time_limits.first_byte_);
+        auto stream = co_await send_over(std::move(connection), peer, std::move(message), body,
+                                         time_limits.first_byte_);
         co_await stream->read_header(time_limits.first_byte_);
         co_return stream;
     } catch (const client_error& fault) {
@@ -237,25 +239,31 @@
 }
 
 auto client::send(const state::network_address& peer, request message, const timeouts& time_limits,
-                  const std::function<bool()>& is_wanted) -> awaitable<std::unique_ptr<response_stream>>
+                  const std::function<bool()>& is_wanted, std::string_view body)
+    -> awaitable<std::unique_ptr<response_stream>>
 {
     auto connection = co_await connect(peer, time_limits.connect_);
     if (!is_wanted())
         throw client_error{client_fault::not_sent, "the request is no longer wanted"};
-    co_return co_await send_over(std::move(connection), peer, std::move(message), time_limits.first_byte_);
+    co_return co_await send_over(std::move(connection), peer, std::move(message), body,
+                                 time_limits.first_byte_);
 }
 
 auto client::send_over(std::unique_ptr<beast::tcp_stream> connection, const state::network_address& peer,
-                       request message, state::duration timeout)
+                       request message, std::string_view body, state::duration timeout)
     -> awaitable<std::unique_ptr<response_stream>>
 {
     if (message.find(beast::http::field::host) == message.end())
         message.set(beast::http::field::host, peer.text());
-    message.prepare_payload();
+    if (body.empty())
+        message.prepare_payload();
+    else
+        message.content_length(body.size());
     auto fault = boost::system::error_code{};
     connection->expires_after(timeout);
     const auto wire = to_wire(message);
-    co_await asio::async_write(*connection, asio::buffer(wire), asio::redirect_error(use_awaitable, fault));
+    const auto parts = std::array<asio::const_buffer, 2>{asio::buffer(wire), asio::buffer(body)};
+    co_await asio::async_write(*connection, parts, asio::redirect_error(use_awaitable, fault));
     // Some bytes may have been sent before the write failed, so client_fault::not_sent would be wrong.
     if (fault)
         throw to_client_error(fault);
@@ -304,7 +312,7 @@
     try {
         const auto deadline = std::chrono::steady_clock::now() + timeout;
         const auto stream =
-            co_await send_over(co_await connect(peer, timeout), peer, std::move(message), timeout);
+            co_await send_over(co_await connect(peer, timeout), peer, std::move(message), {}, timeout);
         auto fault = boost::system::error_code{};
         auto byte = char{};
         stream->connection_->expires_at(deadline);
--- a/libraries/transport/http/client.hpp
+++ b/libraries/transport/http/client.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace buckthorndale::transport::http {
@@ -126,14 +127,17 @@
     };
 
     /// Sends a request and waits for the response headers. With `needs_new_connection`, no idle connection is
-    /// reused. Throws client_error.
+    /// reused. The body is as with send(). Throws client_error.
     auto open(const state::network_address& peer, request message, const timeouts& time_limits,
-              bool needs_new_connection) -> awaitable<std::unique_ptr<response_stream>>;
+              bool needs_new_connection, std::string_view body = {})
+        -> awaitable<std::unique_ptr<response_stream>>;
 
     /// Sends a request over a new connection, unless `is_wanted` returns false once that is open. The
-    /// response headers are yet to be read. Throws client_error.
+    /// response headers are yet to be read. The body is that of the message, or `body`, which is not copied
+    /// and must outlive the call. Throws client_error.
     auto send(const state::network_address& peer, request message, const timeouts& time_limits,
-              const std::function<bool()>& is_wanted) -> awaitable<std::unique_ptr<response_stream>>;
+              const std::function<bool()>& is_wanted, std::string_view body = {})
+        -> awaitable<std::unique_ptr<response_stream>>;
 
     /// Sends a request and reads the complete response. Throws client_error.
     auto fetch(const state::network_address& peer, request message, const timeouts& time_limits)
@@ -163,7 +167,8 @@
     auto connect(const state::network_address& peer, state::duration timeout)
         -> awaitable<std::unique_ptr<beast::tcp_stream>>;
     auto send_over(std::unique_ptr<beast::tcp_stream> connection, const state::network_address& peer,
-                   request message, state::duration timeout) -> awaitable<std::unique_ptr<response_stream>>;
+                   request message, std::string_view body, state::duration timeout)
+        -> awaitable<std::unique_ptr<response_stream>>;
     auto take_idle(const state::network_address& peer) -> std::unique_ptr<beast::tcp_stream>;
     auto keep_idle(const state::network_address& peer, std::unique_ptr<beast::tcp_stream> connection) -> void;
 
--- a/libraries/transport/http/exchange.hpp
+++ b/libraries/transport/http/exchange.hpp
@@ -22,6 +22,9 @@
     /// The complete request.
     virtual auto message() const -> const request& = 0;
 
+    /// Takes the request out of the exchange, so that it is not held twice.
+    virtual auto take_message() -> request = 0;
+
     /// What the request holds of the memory for callers. Whoever keeps the request keeps this too.
     virtual auto share() -> const std::shared_ptr<caller_share>& = 0;
 
--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -195,13 +195,17 @@
 
     auto message() const -> const request& override { return request_; }
 
+    auto take_message() -> request override { return std::exchange(request_, {}); }
+
     auto share() -> const std::shared_ptr<caller_share>& override { return request_share_; }
 
     auto send(response answer) -> awaitable<void> override
     {
         is_answered_ = true;
         answer.keep_alive(is_reusable());
-        co_await write(to_wire(answer));
+        const auto body = std::exchange(answer.body(), {});
+        const auto head = to_wire_head(answer);
+        co_await write(head, body, shared_->settings_.write_timeout_);
         is_complete_ = true;
     }
 
@@ -593,11 +597,18 @@
     }
 
     auto write(std::string bytes, state::duration timeout) -> awaitable<void>
+    {
+        const auto no_body = std::string{};
+        co_await write(bytes, no_body, timeout);
+    }
+
+    auto write(const std::string& head, const std::string& body, state::duration timeout) -> awaitable<void>
     {
         set_timeout(timeout);
         auto fault = boost::system::error_code{};
-        progress_->bytes_sent_ += co_await asio::async_write(stream_, asio::buffer(bytes),
-                                                             asio::redirect_error(use_awaitable, fault));
+        const auto parts = std::array<asio::const_buffer, 2>{asio::buffer(head), asio::buffer(body)};
+        progress_->bytes_sent_ +=
+            co_await asio::async_write(stream_, parts, asio::redirect_error(use_awaitable, fault));
         if (!fault)
             co_return;
         if (fault == beast::error::timeout)
--- a/libraries/transport/http/types.cpp
+++ b/libraries/transport/http/types.cpp
@@ -44,14 +44,19 @@
     return std::move(text).str();
 }
 
+auto to_wire_head(const response& message) -> std::string
+{
+    auto text = std::ostringstream{};
+    text << message.base();
+    return std::move(text).str();
+}
+
 auto to_wire_headers(response headers) -> std::string
 {
     headers.body().clear();
     headers.content_length(boost::none);
     headers.chunked(true);
-    auto text = std::ostringstream{};
-    text << headers.base();
-    return std::move(text).str();
+    return to_wire_head(headers);
 }
 
 auto to_wire_chunk(std::string_view bytes) -> std::string
--- a/libraries/transport/http/types.hpp
+++ b/libraries/transport/http/types.hpp
@@ -34,6 +34,9 @@
 auto to_wire(const request& message) -> std::string;
 auto to_wire(const response& message) -> std::string;
 
+/// Serialises the status line and headers of a response as they are.
+auto to_wire_head(const response& message) -> std::string;
+
 /// Serialises the status line and headers of a response whose body follows in chunks.
 auto to_wire_headers(response headers) -> std::string;
 
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -63,12 +63,13 @@
 {
     auto& attempt = state.attempt_;
     const auto& command = attempt.command_;
-    const auto request = platform::endpoint_request(state.call_.message_, command, clock_.now());
+    const auto request = platform::endpoint_request_head(state.call_.message_, command, clock_.now());
     const auto timeouts =
         http::client::timeouts{.connect_ = std::min(connect_timeout, command.first_byte_timeout_),
                                .first_byte_ = command.first_byte_timeout_};
-    attempt.stream_ = co_await client_.send(command.address_, request, timeouts,
-                                            [&attempt] { return !attempt.is_cancelled_; });
+    attempt.stream_ = co_await client_.send(
+        command.address_, request, timeouts, [&attempt] { return !attempt.is_cancelled_; },
+        state.call_.message_.body());
     if (attempt.is_cancelled_)
         co_return;
     co_await attempt.stream_->read_header(command.first_byte_timeout_);
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -3,6 +3,7 @@
 #include "coordination/forwarding/forward_command.hpp"
 #include "front/answer_queue.hpp"
 #include "state/identifiers.hpp"
+#include "transport/http/caller_share.hpp"
 #include "transport/http/client.hpp"
 #include "transport/http/types.hpp"
 
@@ -44,13 +45,16 @@
 /// The network worker's state of one caller's request.
 struct forwarded_call {
     forwarded_call(transport::http::asio::io_context& context, state::request_handle handle,
-                   transport::http::request message, bool is_relayed)
-        : handle_{handle}, message_{std::move(message)}, output_{context, max_queued_items, max_queued_bytes},
-          is_relayed_{is_relayed}
+                   transport::http::request message, std::shared_ptr<transport::http::caller_share> share,
+                   bool is_relayed)
+        : handle_{handle}, message_{std::move(message)}, share_{std::move(share)},
+          output_{context, max_queued_items, max_queued_bytes}, is_relayed_{is_relayed}
     {}
 
     state::request_handle handle_;
     transport::http::request message_;
+    /// What the call holds of the memory for callers, as long as an attempt may use its message.
+    std::shared_ptr<transport::http::caller_share> share_;
     answer_queue output_;
     /// Whether the caller is another instance.
     bool is_relayed_{false};
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -173,8 +173,8 @@
     hold_decision(*exchange.share(), request);
     last_handle_ = last_handle_.next();
     const auto handle = last_handle_;
-    const auto call =
-        std::make_shared<forwarded_call>(worker_.context(), handle, exchange.message(), is_relayed);
+    const auto call = std::make_shared<forwarded_call>(worker_.context(), handle, exchange.take_message(),
+                                                       exchange.share(), is_relayed);
     call->arrived_at_ = clock_.now();
     calls_.emplace(handle, call);
     open_calls_.store(calls_.size());
--- a/services/router/attempt_runner.cpp
+++ b/services/router/attempt_runner.cpp
@@ -96,8 +96,12 @@
     const auto timeouts = http::client::timeouts{.connect_ = connect_timeout,
                                                  .first_byte_ = order.first_chunk_timeout_,
                                                  .between_chunks_ = order.chunk_timeout_};
-    state.attempt_.stream_ =
-        co_await client_.open(order.address_, build_request(state), timeouts, order.needs_new_connection_);
+    const auto is_plain = order.target_ == state::target_kind::service;
+    const auto engine_body =
+        is_plain ? std::string{} : state.request_.chat_->engine_body(order.version_.model_);
+    const auto& body = is_plain ? state.request_.plain_request_.body() : engine_body;
+    state.attempt_.stream_ = co_await client_.open(order.address_, build_request_head(state), timeouts,
+                                                   order.needs_new_connection_, body);
     if (state.attempt_.is_cancelled_)
         co_return;
     if (!check_headers(state))
@@ -108,12 +112,12 @@
         co_await read_stream(state);
 }
 
-auto attempt_runner::build_request(const progress& state) const -> http::request
+auto attempt_runner::build_request_head(const progress& state) const -> http::request
 {
     const auto& order = state.attempt_.order_;
     const auto& request = state.request_;
     if (order.target_ == state::target_kind::service) {
-        auto message = request.plain_request_;
+        auto message = http::request{request.plain_request_.base()};
         message.set(protocol::caller::request_id_header, request.description_.id_.text());
         return message;
     }
@@ -123,7 +127,6 @@
     message.set(protocol::caller::request_id_header, request.description_.id_.text());
     if (order.resume_offset_ > 0)
         message.set("X-Resume-Offset", std::to_string(order.resume_offset_));
-    message.body() = request.chat_->engine_body(order.version_.model_);
     return message;
 }
 
--- a/services/router/attempt_runner.hpp
+++ b/services/router/attempt_runner.hpp
@@ -47,7 +47,7 @@
     auto check_headers(progress& state) -> bool;
     auto classify_error(progress& state, const transport::http::client_error& error)
         -> transport::http::awaitable<void>;
-    auto build_request(const progress& state) const -> transport::http::request;
+    auto build_request_head(const progress& state) const -> transport::http::request;
 
     transport::logging::logger log_{"network"};
     transport::http::client& client_;
--- a/services/router/caller_request.hpp
+++ b/services/router/caller_request.hpp
@@ -6,12 +6,14 @@
 #include "router/output_queue.hpp"
 #include "state/request_description.hpp"
 #include "state/units.hpp"
+#include "transport/http/caller_share.hpp"
 #include "transport/http/client.hpp"
 
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace buckthorndale::services::router {
@@ -31,11 +33,14 @@
 
 /// State of a caller's request in the network worker, from its arrival to its final answer.
 struct caller_request {
-    caller_request(transport::http::asio::io_context& context, state::request_handle handle)
-        : handle_{handle}, output_{context, max_queued_outputs, max_queued_bytes}
+    caller_request(transport::http::asio::io_context& context, state::request_handle handle,
+                   std::shared_ptr<transport::http::caller_share> share)
+        : handle_{handle}, share_{std::move(share)}, output_{context, max_queued_outputs, max_queued_bytes}
     {}
 
     state::request_handle handle_;
+    /// What the request holds of the memory for callers.
+    std::shared_ptr<transport::http::caller_share> share_;
     state::request_description description_;
     /// Set for model requests.
     std::optional<protocol::caller::chat_request> chat_;
--- a/services/router/network_worker.cpp
+++ b/services/router/network_worker.cpp
@@ -121,9 +121,9 @@
         throw state::error{state::error_kind::no_capacity, "This instance is overloaded.",
                            "Send the request again after a second."};
     last_handle_ = last_handle_.next();
-    auto request = std::make_shared<caller_request>(worker_.context(), last_handle_);
+    auto request = std::make_shared<caller_request>(worker_.context(), last_handle_, exchange.share());
     request->arrived_ = clock_.now();
-    read_caller_request(exchange.message(), *configuration_, *request);
+    read_caller_request(exchange.take_message(), *configuration_, *request);
     requests_.emplace(request->handle_, request);
     notify_decision(request_arrived{request->handle_, request->description_});
     return request;
--- a/services/router/request_reader.cpp
+++ b/services/router/request_reader.cpp
@@ -122,7 +122,7 @@
     return method == verb::get || method == verb::head || method == verb::options;
 }
 
-auto read_service_request(const request& message, const std::string& path, bool has_supplied_id,
+auto read_service_request(request message, const std::string& path, bool has_supplied_id,
                           caller_request& target) -> void
 {
     auto& description = target.description_;
@@ -130,24 +130,22 @@
     const auto remainder = path.substr(service_prefix.size());
     const auto slash = remainder.find('/');
     description.service_ = state::service_name{remainder.substr(0, slash)};
-    target.plain_request_ = message;
     const auto query = transport::http::split_target(message.target()).query_;
     auto forwarded_target = slash == std::string::npos ? std::string{"/"} : remainder.substr(slash);
     if (!query.empty())
         forwarded_target.append("?").append(query);
-    target.plain_request_.target(forwarded_target);
-    target.plain_request_.erase("Authorization");
     description.content_ = state::content_fingerprint{
         state::stable_hash(std::string{message.method_string()} + path + "\n" + message.body())};
     description.is_repeatable_ = is_safe_method(message);
-    if (description.is_repeatable_)
-        return;
     // Without an idempotency key, a request id that the caller chose identifies retries of the request.
     auto key = checked_header(message, caller::idempotency_key_header);
     if (key.empty() && has_supplied_id)
         key = description.id_.text();
-    if (!key.empty())
+    if (!key.empty() && !description.is_repeatable_)
         description.idempotency_key_ = key;
+    message.target(forwarded_target);
+    message.erase("Authorization");
+    target.plain_request_ = std::move(message);
 }
 
 } // namespace
@@ -157,8 +155,8 @@
     return path == chat_path || path.starts_with(service_prefix);
 }
 
-auto read_caller_request(const request& message, const state::configuration& configuration,
-                         caller_request& target) -> void
+auto read_caller_request(request message, const state::configuration& configuration, caller_request& target)
+    -> void
 {
     const auto path = transport::http::split_target(message.target()).path_;
     const auto& workspace = authenticate(message, configuration);
@@ -175,7 +173,7 @@
         read_model_request(message, workspace, target);
         return;
     }
-    read_service_request(message, path, !supplied_id.empty(), target);
+    read_service_request(std::move(message), path, !supplied_id.empty(), target);
 }
 
 } // namespace buckthorndale::services::router
--- a/services/router/request_reader.hpp
+++ b/services/router/request_reader.hpp
@@ -14,7 +14,7 @@
 /// Authenticates a caller's message and fills in the request: the workspace, the profile or the service, and
 /// the fields that routing uses. Throws error of kind unauthenticated, forbidden, not_found or
 /// invalid_request.
-auto read_caller_request(const transport::http::request& message, const state::configuration& configuration,
+auto read_caller_request(transport::http::request message, const state::configuration& configuration,
                          caller_request& target) -> void;
 
 } // namespace buckthorndale::services::router
--- a/tests/transport/connections.cpp
+++ b/tests/transport/connections.cpp
@@ -121,6 +121,35 @@
     BOOST_CHECK_EQUAL(answer.substr(0, 12), "HTTP/1.1 413");
 }
 
+BOOST_AUTO_TEST_CASE(a_body_is_sent_beside_its_head)
+{
+    auto context = asio::io_context{};
+    const auto body = std::string(1000, 'b');
+    auto received = std::string{};
+    auto server = http::server{context,
+                               {.address_ = {.host_ = "127.0.0.1", .port_ = 0}},
+                               [&received](http::exchange& exchange) -> http::awaitable<void> {
+                                   received = exchange.message().body();
+                                   co_await exchange.send(http::make_response(200, "text/plain", "ok"));
+                               }};
+    server.start();
+    auto client = http::client{context};
+    const auto send = [&]() -> http::awaitable<void> {
+        const auto peer = state::network_address{.host_ = "127.0.0.1", .port_ = server.port()};
+        const auto timeouts = http::client::timeouts{};
+        auto head = http::request{http::beast::http::verb::post, "/", 11};
+        // A caller's chunks or length are not those of the body that is sent.
+        head.set(http::beast::http::field::content_length, "7");
+        const auto is_wanted = [] { return true; };
+        const auto stream = co_await client.send(peer, head, timeouts, is_wanted, body);
+        co_await stream->read_header(std::chrono::seconds{2});
+        context.stop();
+    };
+    asio::co_spawn(context, send, [](const std::exception_ptr& fault) { BOOST_CHECK(!fault); });
+    context.run_for(std::chrono::seconds{5});
+    BOOST_TEST(received == body);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
