transport, front, router: Put answers that are not read on account

What callers saw: callers that ask for large answers and read nothing made an instance hold each answer twice, and each stream up to 64 KB and an event, for up to 20 s. Cause: an answer that was complete left the bound of what endpoints send, and came under none; the text that was written was a copy. What waits to be written is now part of the caller's share. The caller gives way when others need the memory: its connection is closed, so that the answer cannot be taken for whole.

--- a/libraries/transport/http/server.cpp
+++ b/libraries/transport/http/server.cpp
@@ -602,13 +602,25 @@
         co_await write(bytes, no_body, timeout);
     }
 
+    /// The caller may never read what is written, so it may have to give way.
     auto write(const std::string& head, const std::string& body, state::duration timeout) -> awaitable<void>
     {
         set_timeout(timeout);
+        const auto share = request_share_;
+        if (share) {
+            share->allow_eviction(
+                [this] { abort("the caller did not read the answer while others waited"); });
+            if (!share->try_hold(held_part::answer, head.size() + body.size()))
+                abort("the answers at this instance take all of its memory for them");
+        }
         auto fault = boost::system::error_code{};
         const auto parts = std::array<asio::const_buffer, 2>{asio::buffer(head), asio::buffer(body)};
         progress_->bytes_sent_ +=
             co_await asio::async_write(stream_, parts, asio::redirect_error(use_awaitable, fault));
+        if (share) {
+            share->forbid_eviction();
+            share->release(held_part::answer);
+        }
         if (!fault)
             co_return;
         if (fault == beast::error::timeout)
--- a/libraries/transport/ring/awaitable_queue.hpp
+++ b/libraries/transport/ring/awaitable_queue.hpp
@@ -55,6 +55,8 @@
             co_await wait_on(not_full_);
     }
 
+    auto queued_bytes() const -> std::size_t { return queued_bytes_; }
+
     /// Discards all items, ignores later ones and wakes both sides: nobody needs the items any more.
     auto close() -> void
     {
--- a/services/front/forward_runner.cpp
+++ b/services/front/forward_runner.cpp
@@ -232,6 +232,7 @@
     ++state.result_.events_;
     const auto size = event.bytes_.size();
     call.output_.push(answer_chunk{std::move(event.bytes_)}, size);
+    call.hold_queue();
 }
 
 auto forward_runner::classify_fault(progress& state, http::client_fault fault) -> http::awaitable<void>
--- a/services/front/forwarded_call.hpp
+++ b/services/front/forwarded_call.hpp
@@ -51,6 +51,14 @@
           output_{context, max_queued_items, max_queued_bytes}, is_relayed_{is_relayed}
     {}
 
+    /// Puts the queued answer on account. A caller that does not read it gives way when there is no more
+    /// memory.
+    auto hold_queue() -> void
+    {
+        if (!share_->try_hold(transport::http::held_part::queue, output_.queued_bytes()))
+            share_->evict();
+    }
+
     state::request_handle handle_;
     transport::http::request message_;
     /// What the call holds of the memory for callers, as long as an attempt may use its message.
--- a/services/front/network_worker.cpp
+++ b/services/front/network_worker.cpp
@@ -213,6 +213,7 @@
         // The queue is closed when the caller has gone.
         if (!item)
             co_return;
+        call.hold_queue();
         if (auto* started = std::get_if<answer_started>(&*item)) {
             metrics_.record_first_event(clock_.now() - call.arrived_at_);
             co_await exchange.begin(std::move(started->headers_));
--- a/services/router/answer_writer.cpp
+++ b/services/router/answer_writer.cpp
@@ -38,6 +38,7 @@
         const auto item = co_await request_.output_.next();
         if (!item)
             co_return;
+        request_.hold_queue();
         has_more = co_await std::visit([this](const auto& value) { return write(value); }, *item);
     }
 }
--- a/services/router/attempt_runner.cpp
+++ b/services/router/attempt_runner.cpp
@@ -54,6 +54,7 @@
     }
     const auto size = data.size();
     request.output_.push(answer_chunk{std::move(data)}, size);
+    request.hold_queue();
 }
 
 auto attempt_runner::run(std::shared_ptr<caller_request> request, std::shared_ptr<network_attempt> attempt,
--- a/services/router/caller_request.hpp
+++ b/services/router/caller_request.hpp
@@ -38,6 +38,14 @@
         : handle_{handle}, share_{std::move(share)}, output_{context, max_queued_outputs, max_queued_bytes}
     {}
 
+    /// Puts the queued answer on account. A caller that does not read it gives way when there is no more
+    /// memory.
+    auto hold_queue() const -> void
+    {
+        if (!share_->try_hold(transport::http::held_part::queue, output_.queued_bytes()))
+            share_->evict();
+    }
+
     state::request_handle handle_;
     /// What the request holds of the memory for callers.
     std::shared_ptr<transport::http::caller_share> share_;
--- a/tests/transport/caller_connections.cpp
+++ b/tests/transport/caller_connections.cpp
@@ -472,6 +472,29 @@
     BOOST_TEST(holds_soon([&] { return server.counts().memory_.held_ == 0U; }));
 }
 
+BOOST_AUTO_TEST_CASE(callers_that_do_not_read_kept_others_out)
+{
+    auto limited = settings();
+    limited.max_body_bytes_ = 1024;
+    limited.memory_ = std::make_shared<http::caller_memory>(20'000'000);
+    const auto answer_at_length = [](http::exchange& exchange) -> http::awaitable<void> {
+        co_await exchange.send(
+            http::make_response(200, "text/plain", std::string(8'000'000, 'x') + "served"));
+    };
+    auto server = running_server{limited, answer_at_length};
+    auto silent = std::vector<std::unique_ptr<caller>>{};
+    for (auto count = 0; count < 5; ++count) {
+        silent.push_back(std::make_unique<caller>(server.port()));
+        silent.back()->send(plain_request);
+    }
+    auto reading = caller{server.port()};
+    reading.send(plain_request);
+    reading.read_until("served");
+    const auto held = server.counts().memory_;
+    BOOST_TEST(held.held_ <= held.limit_);
+    BOOST_TEST(held.evicted_ > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace buckthorndale::tests
