forwarding: Know sessions by a hash of their names

What callers saw: requests that name another session each, in names of 15 KB, made an instance hold all names for the lifetime of a session. Cause: the pins of sessions had the name as their key.

--- a/libraries/coordination/forwarding/session_pins.hpp
+++ b/libraries/coordination/forwarding/session_pins.hpp
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "state/identifiers.hpp"
+#include "state/stable_hash.hpp"
 #include "state/units.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 
 namespace buckthorndale::coordination::forwarding {
 
@@ -17,7 +20,7 @@
     auto find(const state::session_id& session, const state::service_name& service,
               state::time_point now) const -> std::optional<state::version_name>
     {
-        const auto found = pins_.find({service, session});
+        const auto found = pins_.find({service, key_of(session)});
         if (session.is_empty() || found == pins_.end() || now - found->second.last_used_ > lifetime_)
             return std::nullopt;
         return found->second.version_;
@@ -27,7 +30,7 @@
              const state::version_name& version, state::time_point now) -> void
     {
         if (!session.is_empty())
-            pins_[{service, session}] = {.version_ = version, .last_used_ = now};
+            pins_[{service, key_of(session)}] = {.version_ = version, .last_used_ = now};
     }
 
     /// Removes sessions that were not used within the lifetime.
@@ -44,8 +47,16 @@
         state::time_point last_used_;
     };
 
+    using session_key = std::uint64_t;
+
+    /// Callers choose how many sessions there are and how long their names.
+    static auto key_of(const state::session_id& session) -> session_key
+    {
+        return state::stable_hash(session.text());
+    }
+
     state::duration lifetime_;
-    std::map<std::pair<state::service_name, state::session_id>, entry> pins_;
+    std::map<std::pair<state::service_name, session_key>, entry> pins_;
 };
 
 } // namespace buckthorndale::coordination::forwarding
